--- a/latchgrade/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""latchgrade: the decisions of a cache router."""
-
-from latchgrade.control import Router
-
-__all__ = ["Router"]
--- a/latchgrade/control.py
+++ b/onyxpulley/control.py
@@ -10,8 +10,8 @@
 from collections import deque
 from hashlib import blake2b
 
-from latchgrade import interface as api
-from latchgrade.interface import Effect, Note, Outcome, State
+from onyxpulley import interface as api
+from onyxpulley.interface import Effect, Note, Outcome, State
 
 # ---- Tuned values: unit, reason, and what half or double would do.
 MS = 1000
--- a/latchgrade/drill.py
+++ b/onyxpulley/drill.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterator
 from typing import Any, TextIO
 
-from latchgrade import interface as api
-from latchgrade.control import Router
+from onyxpulley import interface as api
+from onyxpulley.control import Router
 
 Json = dict[str, Any]
 
@@ -266,7 +266,7 @@
         try:
             sink.write(drill.batch(line) + "\n")
         except Malformed as problem:
-            print(f"latchgrade: bad line on the wire: {problem}", file=sys.stderr)
+            print(f"onyxpulley: bad line on the wire: {problem}", file=sys.stderr)
             return 1
         sink.flush()
     return 0
--- a/latchgrade/interface.py
+++ b/onyxpulley/interface.py
@@ -1,4 +1,4 @@
-"""Types of latchgrade: the settings and events a router reads, the actions it answers with.
+"""Types of onyxpulley: the settings and events a router reads, the actions it answers with.
 
 Times are whole microseconds on the events' clock. Nothing here decides anything.
 """
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from itertools import count
 
-from latchgrade import interface as api
-from latchgrade.control import Router
+from onyxpulley import interface as api
+from onyxpulley.control import Router
 
 SEC = 1_000_000
 PAGES = api.ClassSettings(
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from latchgrade.drill import Drill, main
+from onyxpulley.drill import Drill, main
 
 PARAMS: dict[str, Any] = {
     "azs": ["hub", "edge-1"],
@@ -91,7 +91,7 @@
 
 def run(lines: list[str], seed: str) -> list[str]:
     env = {**os.environ, "PYTHONHASHSEED": seed}
-    command = [sys.executable, "-m", "latchgrade.drill"]
+    command = [sys.executable, "-m", "onyxpulley.drill"]
     done = subprocess.run(
         command, input="\n".join(lines) + "\n", env=env, capture_output=True, text=True, check=True
     )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,9 +5,9 @@
 from dataclasses import replace
 from itertools import islice
 
-from latchgrade import interface as api
-from latchgrade.control import Router, part_of
-from latchgrade.interface import Note, Outcome
+from onyxpulley import interface as api
+from onyxpulley.control import Router, part_of
+from onyxpulley.interface import Note, Outcome
 
 from .helpers import BASE, SEC, START, entries
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,7 +1,7 @@
 """One test for each trouble that was found in measured days."""
 
-from latchgrade import interface as api
-from latchgrade.interface import Note, Outcome
+from onyxpulley import interface as api
+from onyxpulley.interface import Note, Outcome
 
 from .helpers import SEC, World, fetch, finals, sends, with_settings
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,9 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from latchgrade import interface as api
-from latchgrade.control import Router
-from latchgrade.interface import Note, Outcome, State
+from onyxpulley import interface as api
+from onyxpulley.control import Router
+from onyxpulley.interface import Note, Outcome, State
 
 from .helpers import BASE, KEYED, SEC, START, World, entries, fetch, finals, sends, with_settings
 
