Serve the platform's protocol on real sockets round the decision module

The module gains recheck() for the write, settle() for the end of a drain, and 'bare' answers that tell no pace.

--- /dev/null
+++ b/onyxpulley/clients.py
@@ -0,0 +1,359 @@
+"""The platform's front: clients speak RESP arrays of bulk strings."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import sys
+from collections import deque
+from typing import TYPE_CHECKING
+
+from onyxpulley import fields
+from onyxpulley.buffers import Buffer
+from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
+
+if TYPE_CHECKING:
+    from onyxpulley.config import Limits
+
+OPEN = 32  # requests of one connection
+BODY = 48_000  # bytes that a write brings
+SKIP = (
+    1_048_576  # of a larger body so much is passed over, to answer under its tag; past it the connection ends
+)
+WORDS = 8  # in an array
+HEAD = 4_096  # bytes of any word that is not the body
+STALL = 10.0  # seconds that a client may leave an answer unread
+WORD = {
+    Verdict.SERVED: b"good",
+    Verdict.REFUSED: b"refused",
+    Verdict.FAILED: b"broken",
+    Verdict.EXPIRED: b"broken",
+}
+HEX = frozenset("0123456789abcdef")
+
+
+class Malformed(Exception):
+    """What came cannot be read as the protocol; nothing after it can."""
+
+
+class Oversize(Exception):
+    """A body past the limit, of a request whose tag is known."""
+
+    def __init__(self, words: list[bytes], at: int, size: int) -> None:
+        self.words, self.at, self.size = words, at, size
+
+
+def bulk(data: bytearray, at: int, end: int, mark: int, most: int) -> tuple[int, int] | None:
+    """The number on a line that starts with `mark`, and where the line ends. None: not whole yet."""
+    if at >= end:
+        return None
+    if data[at] != mark:
+        raise Malformed(f"expected {chr(mark)!r}")
+    line = data.find(b"\r\n", at + 1, min(end, at + 16))
+    if line < 0:
+        if end - at >= 16:
+            raise Malformed("length line too long")
+        return None
+    try:
+        return fields.number(data[at + 1 : line].decode("ascii"), 0, most), line + 2
+    except ValueError as problem:
+        raise Malformed(str(problem)) from problem
+
+
+def read_array(data: bytearray, start: int, end: int) -> tuple[list[bytes], int] | None:
+    """One array and where it ends, or None when it is not whole yet."""
+    head = bulk(data, start, end, 0x2A, WORDS)
+    if head is None:
+        return None
+    count, at = head
+    words: list[bytes] = []
+    for no in range(count):
+        found = bulk(data, at, end, 0x24, 2**40)
+        if found is None:
+            return None
+        size, at = found
+        if size > (BODY if no >= 4 else HEAD):
+            if no >= 4 and size <= SKIP:
+                raise Oversize(words, at, size)
+            raise Malformed("word too long")
+        if end < at + size + 2:
+            return None
+        if data[at + size] != 13 or data[at + size + 1] != 10:
+            raise Malformed("no line end after a word")
+        words.append(bytes(memoryview(data)[at : at + size]))
+        at += size + 2
+    return words, at
+
+
+def reply_bytes(tag: bytes, word: bytes, row: str = "", body: bytes = b"") -> bytes:
+    text = row.encode()
+    return b"*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n" % (
+        len(tag), tag, len(word), word, len(text), text, len(body), body,
+    )  # fmt: skip
+
+
+def read_request(words: list[bytes], classes: frozenset[str], arrived: int) -> Request:
+    """An ASK as the core takes it. Raises ValueError on anything that a server must not be sent."""
+    if not 4 <= len(words) <= 5:
+        raise ValueError(f"{len(words)} words")
+    cls = words[2].decode("ascii")
+    if cls not in classes:
+        raise ValueError(f"unknown class {cls[:40]!r}")
+    row = fields.read(words[3].decode("ascii"))
+    for name in ("txn", "item"):
+        if len(row.get(name, "")) != 16 or not HEX.issuperset(row[name]):
+            raise ValueError(f"{name} is not 16 hex digits")
+    have = row.get("have", "")
+    if len(have) > 64 or not have.isalnum() and have:
+        raise ValueError("bad tag of a copy")
+    size = float(row.get("ram", "0"))
+    if not 0 <= size < 1e9:
+        raise ValueError("bad size")
+    return Request(
+        txn=row["txn"],
+        cls=cls,
+        item=row["item"],
+        due=arrived + 1000 * fields.number(row.get("limit", ""), 1, 3_600_000),
+        reply=unanswered,
+        part=fields.number(row.get("part", "0"), 0, 2**31),
+        group=fields.number(row["group"], 0, 255) if "group" in row else None,
+        size_kb=size,
+        body=words[4] if len(words) > 4 else b"",
+        have=have,
+        again=row.get("second", "") == "1",
+    )
+
+
+def unanswered(answer: Answer) -> None:
+    raise AssertionError("a request without a front")
+
+
+class Client:
+    """One connection of a client."""
+
+    def __init__(self, front: Clients, sock: socket.socket) -> None:
+        self.front, self.sock = front, sock
+        self.buffer = Buffer(4_096, BODY + 8 * HEAD)
+        self.open: dict[bytes, Request] = {}
+        self.out: deque[bytes] = deque()
+        self.held = 0  # bytes of `out` and of what is being written
+        self.skip = 0
+        self.closed, self.last = False, False
+        self.used = now_us()
+        self.wake = asyncio.Event()
+        self.tasks = {asyncio.create_task(self._read()), asyncio.create_task(self._write())}
+
+    async def _read(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while not self.last:
+                got = await loop.sock_recv_into(self.sock, self.buffer.room())
+                if not got:
+                    break
+                self.buffer.end += got
+                self.used = now_us()
+                self._parse()
+        except (Malformed, BufferError) as problem:
+            print(f"client: {problem}"[:200], file=sys.stderr, flush=True)
+        except OSError:
+            pass
+        finally:
+            self.close()
+
+    def _parse(self) -> None:
+        buffer = self.buffer
+        while buffer.start < buffer.end:
+            if self.skip:
+                step = min(self.skip, buffer.end - buffer.start)
+                buffer.start, self.skip = buffer.start + step, self.skip - step
+                continue
+            try:
+                found = read_array(buffer.data, buffer.start, buffer.end)
+            except Oversize as problem:
+                self._fail(problem.words, "body too large")
+                self.skip, buffer.start = problem.size + 2, problem.at
+                continue
+            if found is None:
+                return
+            words, buffer.start = found
+            self._message(words)
+
+    def _fail(self, words: list[bytes], why: str) -> None:
+        """A failure where a tag is known; else this connection cannot go on."""
+        tag = words[1] if len(words) > 1 else b""
+        if not (tag.isdigit() and len(tag) <= 19 and int(tag) > 0):
+            raise Malformed(why)
+        print(f"client: {why}"[:200], file=sys.stderr, flush=True)
+        self.push(reply_bytes(tag, b"broken"))
+
+    def _message(self, words: list[bytes]) -> None:
+        verb = words[0] if words else b""
+        tag = words[1] if len(words) > 1 else b""
+        if not (tag.isdigit() and len(tag) <= 19 and int(tag) > 0):
+            raise Malformed("no tag")
+        if verb == b"ASK":
+            if tag in self.open:
+                return self._fail(words, "tag is open already")
+            if len(self.open) >= OPEN:
+                return self._fail(words, "too many open requests")
+            try:
+                request = read_request(words, self.front.classes, self.used)
+            except ValueError as problem:
+                return self._fail(words, f"bad request: {problem}")
+
+            def reply(answer: Answer) -> None:
+                self._reply(tag, answer)
+
+            request.reply = reply
+            self.open[tag] = request
+            self.front.exchange.take(request)
+        elif verb == b"NEVERMIND":
+            left = self.open.pop(tag, None)
+            if left is not None:
+                self.front.exchange.left(left)
+        elif verb == b"STATUS":
+            self.push(reply_bytes(tag, b"fit" if self.front.fit else b"unfit"))
+        else:
+            self._fail(words, "unknown verb")
+
+    def _reply(self, tag: bytes, answer: Answer) -> None:
+        if self.open.pop(tag, None) is None:
+            return
+        row = []
+        if answer.verdict is Verdict.SERVED and answer.tag:
+            row.append(f"have={answer.tag}")
+        if answer.same:
+            row.append("same=1")
+        if answer.later:
+            row.append(f"later={answer.later}")
+        self.push(reply_bytes(tag, WORD[answer.verdict], ",".join(row), answer.body))
+
+    def push(self, data: bytes) -> None:
+        if self.closed:
+            return
+        self.out.append(data)
+        self.held += len(data)
+        self.front.held += len(data)
+        self.wake.set()
+        if self.front.held > self.front.limits.memory:
+            self.front.shed()
+
+    async def _write(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while not self.closed:
+                await self.wake.wait()
+                self.wake.clear()
+                while self.out:
+                    batch, size = [self.out.popleft()], 0
+                    size = len(batch[0])
+                    while self.out and size + len(self.out[0]) <= 65_536:
+                        size += len(self.out[0])
+                        batch.append(self.out.popleft())
+                    async with asyncio.timeout(STALL):
+                        await loop.sock_sendall(self.sock, batch[0] if len(batch) == 1 else b"".join(batch))
+                    self.held -= size
+                    self.front.held -= size
+                    self.used = now_us()
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            self.close()
+
+    def idle(self) -> bool:
+        return not self.open and not self.held
+
+    def close(self) -> None:
+        """The client is gone, or is sent away: what it had open is given up."""
+        if self.closed:
+            return
+        self.closed = True
+        self.front.all.discard(self)
+        self.front.held -= self.held
+        self.held = 0
+        self.out.clear()
+        current = asyncio.current_task()
+        for task in self.tasks:
+            if task is not current:
+                task.cancel()
+        with contextlib.suppress(OSError):
+            self.sock.close()
+        gone = list(self.open.values())
+        self.open.clear()
+        for request in gone:
+            self.front.exchange.left(request)
+
+
+class Clients:
+    """The listener and all connections of the platform's front."""
+
+    def __init__(self, exchange: Exchange, classes: frozenset[str], limits: Limits) -> None:
+        self.exchange, self.classes, self.limits = exchange, classes, limits
+        self.all: set[Client] = set()
+        self.most = limits.sockets // 3
+        self.held = 0
+        self.fit = False
+        self.sock: socket.socket | None = None
+
+    def listen(self, address: tuple[str, int]) -> None:
+        self.sock = listener(address)
+
+    async def accept(self) -> None:
+        assert self.sock is not None
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(self.sock)
+            except OSError as problem:
+                print(f"accept: {problem}", file=sys.stderr, flush=True)
+                await asyncio.sleep(0.05)
+                continue
+            if len(self.all) >= self.most:
+                idle = [c for c in self.all if c.idle()]
+                if not idle:
+                    sock.close()
+                    continue
+                min(idle, key=lambda c: c.used).close()
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.all.add(Client(self, sock))
+
+    def shed(self) -> None:
+        """Guards the memory against clients that do not read: the one that holds most goes."""
+        worst = max(self.all, key=lambda c: c.held, default=None)
+        if worst is not None:
+            print(f"client: {worst.held} bytes unread, closed", file=sys.stderr, flush=True)
+            worst.close()
+
+    def stop_listening(self) -> None:
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+    def close_idle(self) -> None:
+        for client in [c for c in self.all if c.idle()]:
+            client.close()
+
+    def quiet(self) -> bool:
+        """All answers are written."""
+        return not self.held and not any(c.open for c in self.all)
+
+    def close(self) -> None:
+        self.stop_listening()
+        for client in list(self.all):
+            client.close()
+
+
+def listener(address: tuple[str, int]) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    try:
+        sock.bind(address)
+        sock.listen(512)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/onyxpulley/config.py
@@ -0,0 +1,88 @@
+"""What the platform tells the program: GW_NAME, GW_LISTEN and the file GW_CONFIG."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+
+class BadConfig(Exception):
+    """One clear line for the operator."""
+
+
+@dataclass(slots=True)
+class Limits:
+    connect_timeout: float
+    idle: float
+    streams: int
+    sockets: int
+    most_open: int
+    memory: int  # bytes that queued answers may hold together
+    drain: float  # seconds from SIGTERM to the last answer
+    signature_boxes: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    bulletin: tuple[str, int]
+    seed: int
+    known_no: int
+    known: list[dict[str, Any]]
+    settings: dict[str, Any]
+    limits: Limits
+    flow: float  # bytes a second of one transfer of its own
+    link: float  # the same of all transfers together
+
+
+def address(text: str, what: str) -> tuple[str, int]:
+    host, mark, port = text.rpartition(":")
+    if not mark or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise BadConfig(f"{what} is not host:port: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def load(env: Mapping[str, str]) -> Config:
+    path = env.get("GW_CONFIG", "")
+    if not path:
+        raise BadConfig("GW_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            table = json.load(file)
+        return _read(table, env)
+    except OSError as problem:
+        raise BadConfig(f"cannot read {path}: {problem.strerror}") from problem
+    except (KeyError, TypeError, AttributeError, ValueError) as problem:
+        raise BadConfig(f"{path}: {type(problem).__name__}: {problem}") from problem
+
+
+def _read(table: dict[str, Any], env: Mapping[str, str]) -> Config:
+    settings = table["settings"]
+    bounds = settings.get("bounds", {})
+    limits = table.get("limits", {})
+    classes = settings["classes"]
+    longest = max(int(c["deadline"]) for c in classes) / 1e6
+    known = table.get("known") or {"no": 0, "items": []}
+    return Config(
+        name=env.get("GW_NAME") or str(table.get("name", "")),
+        listen=address(env.get("GW_LISTEN") or str(table["listen"]), "listen"),
+        bulletin=address(str(table["bulletin"]), "bulletin"),
+        seed=int(str(table.get("seed", "0")), 16),
+        known_no=int(known["no"]),
+        known=list(known["items"]),
+        settings=settings,
+        limits=Limits(
+            connect_timeout=int(bounds.get("connectTimeout", 400_000)) / 1e6,
+            idle=int(bounds.get("connIdle", 15_000_000)) / 1e6,
+            streams=max(1, int(bounds.get("streamsPerConn", 100))),
+            sockets=int(limits.get("sockets", 1024)),
+            most_open=min(2_000, int(bounds.get("openCap", 2_000))),
+            memory=int(float(limits.get("memory_mb", 192)) * 1e6 / 4),
+            drain=min(3.0, longest) + 0.4,
+        ),
+        flow=float(table.get("flow_bytes_per_s", 0)),
+        link=float(table.get("link_bytes_per_s", 0)),
+    )
--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -81,10 +81,11 @@
 
 
 class Attempt:
-    def __init__(self, job: Job, no: int, server: Server, source: Server | None, sent: int) -> None:
-        self.job, self.no, self.server, self.source, self.sent = job, no, server, source, sent
+    def __init__(self, router: Router, job: Job, server: Server, source: Server | None) -> None:
+        self.job, self.no, self.server, self.source, self.sent = job, job.made, server, source, router.now
         self.expect, self.work, self.miss, self.looks, self.moved = 0.0, 0.0, 1.0, 0, False
         self.held, self.known = False, False  # only what cache and source hold; size told or learned
+        self.booked = [s for s in (server, source) if s and router.warmth(s) < 1.0]  # counted as cold
 
 
 class Job:
@@ -489,7 +490,7 @@
         if cached and not job.held:
             source = self.choose_source(job, server.miss, server)
         work = self.work_of(req)
-        attempt = Attempt(job, job.made, server, source if source is not server else None, self.now)
+        attempt = Attempt(self, job, server, source if source is not server else None)
         attempt.work = work
         attempt.known = self.sized(req) or (req.object, req.part) in self.learned
         attempt.expect = (work * (1.0 if attempt.known else UNSEEN) + self.lag) * max(1.0, server.slow)
@@ -675,6 +676,8 @@
         server, source, req, took = attempt.server, attempt.source, attempt.job.req, float(event.took)
         filled = event.note in (Note.FILLED, Note.FILLED_BY_ORIGIN)
         self.credit(server, attempt.sent)
+        if event.bare:
+            return
         self.served.add(self.now, self.mean_of(req))
         if filled and source is not None:
             self.credit(source, attempt.sent)
@@ -701,6 +704,33 @@
             attempt.work = self.learned[key]
         self.crowded(server, took / (attempt.work + self.lag))
 
+    # ---- At the write, and at the end
+    def recheck(self, now: int, request: str, no: int) -> int | None:
+        """What was decided may have waited for a connection. The age bound of now, or None: a party drains,
+        is gone, or started cold since (rules 3 and 4 hold at the write)."""
+        self.now = now
+        job = self.jobs.get(request)
+        attempt = job.open.get(no) if job is not None else None
+        if job is None or attempt is None:
+            return None
+        for party, work in ((attempt.server, self.mean_of(job.req)), (attempt.source, attempt.work)):
+            if party is None:
+                continue
+            if party.state != State.READY:
+                return None
+            if self.warmth(party) < 1.0 and party not in attempt.booked:
+                if not self.within_budget(party, work):
+                    return None
+                self.book(party, work)
+        return self.max_age(job)
+
+    def settle(self, now: int, request: str) -> list[api.Action]:
+        """The final answer at once, whatever is out: the router is about to end."""
+        self.now, self.actions = now, []
+        if request in self.jobs:
+            self.give_up(self.jobs[request])
+        return self.actions
+
     # ---- Dispatch
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now, self.actions = now, []
--- /dev/null
+++ b/onyxpulley/core.py
@@ -0,0 +1,305 @@
+"""The life of a request: taken once, tried by attempts, answered once. Knows no wire and no sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+
+def now_us() -> int:
+    """The clock of all spans."""
+    return time.monotonic_ns() // 1000
+
+
+class Outcome(Enum):
+    """How an attempt ended, as the party that carried it saw it."""
+
+    SERVED = "served"
+    ABSENT = "absent"
+    FULL = "full"
+    FAILED = "failed"
+    MOOT = "moot"
+    TIMED_OUT = "timed out"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    ABORTED = "aborted"
+
+    @property
+    def never_ran(self) -> bool:
+        return self in (Outcome.ABSENT, Outcome.FULL, Outcome.MOOT, Outcome.UNREACHABLE)
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    EXPIRED = "expired"  # the permission ran out before the next attempt
+
+
+@dataclass(slots=True)
+class Report:
+    """The end of one attempt. `note` counts as the platform does; `waited` in microseconds."""
+
+    outcome: Outcome
+    note: int = 0
+    waited: int = 0
+    load: tuple[float, ...] = ()
+    body: bytes = b""
+    tag: str = ""
+    stamp: int = 0  # Unix ms at which the origin gave the copy out
+    same: bool = False  # the client's own copy is the one: no bytes came
+
+
+@dataclass(slots=True)
+class Answer:
+    verdict: Verdict
+    body: bytes = b""
+    tag: str = ""
+    same: bool = False
+    later: int = 0  # milliseconds to stay away
+    may_have_run: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class Request:
+    """What a front took. `reply` is called exactly once, unless the client leaves first."""
+
+    txn: str
+    cls: str
+    item: str
+    due: int  # monotonic microseconds
+    reply: Callable[[Answer], None]
+    part: int = 0
+    group: int | None = None
+    size_kb: float = 0.0
+    body: bytes = b""
+    have: str = ""
+    again: bool = False
+    tenant: str | None = None
+    permitted: Callable[[], bool] | None = None  # asked before every attempt
+    signature: str = ""  # for boxes that want it; never on the platform's wire
+    key: str = ""
+    ended: bool = False
+    maybe_ran: bool = False
+    made: int = 0
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    request: Request
+    no: int
+    server: str
+    source: str | None  # None: no fill
+    until: int
+    rank: int = 0
+    newer: int = 0  # microseconds; 0: the fresh time of the class
+    join: bool = False
+    only_held: bool = False
+    renew: bool = False
+    begun: int = 0
+    written: bool = False
+    ended: bool = False
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class Abort:
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class Settle:
+    request: Request
+    answer: Answer
+
+
+Order = Send | Abort | Settle
+
+
+class Decider(Protocol):
+    """What the core asks of the decisions."""
+
+    def pick(self, request: Request) -> Sequence[Order]: ...
+    def report(self, attempt: Attempt, report: Report, over: bool) -> Sequence[Order]: ...
+    def tick(self) -> Sequence[Order]: ...
+    def left(self, request: Request) -> Sequence[Order]: ...
+    def settle(self, request: Request) -> Sequence[Order]: ...
+    def recheck(self, attempt: Attempt) -> bool: ...
+    def due_in(self) -> float | None: ...
+
+
+class Carrier(Protocol):
+    """Whoever takes attempts to servers."""
+
+    def send(self, attempt: Attempt) -> None: ...
+    def abort(self, attempt: Attempt) -> None: ...
+
+
+class Exchange:
+    """All open requests of the program. Single-threaded; never calls itself while orders are carried out."""
+
+    def __init__(self, decider: Decider, carrier: Carrier, most_open: int) -> None:
+        self.decider, self.carrier, self.most_open = decider, carrier, most_open
+        self.open: dict[str, Request] = {}
+        self.answers: dict[Verdict, int] = dict.fromkeys(Verdict, 0)
+        self.serial = 0
+        self._queue: list[Order] = []
+        self._busy = False
+        self._alarm: asyncio.TimerHandle | None = None
+        self._alarm_at = 0.0
+
+    # ---- Called by the fronts
+    def take(self, request: Request) -> None:
+        self.serial += 1
+        request.key = f"q{self.serial}"
+        if len(self.open) >= self.most_open:  # bounds the memory of all open requests together
+            self._answer(request, Answer(Verdict.REFUSED, later=500))
+            return
+        self.open[request.key] = request
+        self.run(self.decider.pick(request))
+
+    def left(self, request: Request) -> None:
+        """The client stopped waiting: no answer is owed, what is out is given up."""
+        if request.ended:
+            return
+        request.ended = True
+        self.open.pop(request.key, None)
+        self.run(self.decider.left(request))
+        self._withdraw(request)
+
+    def settle_all(self) -> None:
+        """The last moment of a drain: everything still open gets the final answer that the rules allow."""
+        for request in list(self.open.values()):
+            self.run(self.decider.settle(request))
+
+    # ---- Called by the carrier
+    def clear(self, attempt: Attempt) -> bool:
+        """At the write. Guards against a drain, a purge, a cold start or an expiry while it was queued."""
+        if attempt.ended or attempt.request.ended:
+            return False
+        if not self._permitted(attempt.request):
+            return False
+        if now_us() >= attempt.until:
+            self.timed_out(attempt)
+            return False
+        if not self.decider.recheck(attempt):
+            self.finish(attempt, Report(Outcome.FULL))
+            return False
+        attempt.written = attempt.request.maybe_ran = True
+        return True
+
+    def finish(self, attempt: Attempt, report: Report) -> None:
+        """The end of an attempt; whatever comes after the first is ignored."""
+        if attempt.ended:
+            return
+        self._close(attempt)
+        request = attempt.request
+        if report.outcome.never_ran:
+            request.maybe_ran = any(a.written for a in request.attempts if a is not attempt)
+            attempt.written = False
+        served = report.outcome is Outcome.SERVED and not request.ended
+        if served:
+            self._answer(request, Answer(Verdict.SERVED, report.body, report.tag, report.same))
+        self.run(self.decider.report(attempt, report, over=request.ended))
+        if served:
+            self._withdraw(request)
+
+    def timed_out(self, attempt: Attempt) -> None:
+        if not attempt.ended:
+            self.carrier.abort(attempt)
+            self.finish(attempt, Report(Outcome.TIMED_OUT))
+
+    # ---- Orders
+    def run(self, orders: Sequence[Order]) -> None:
+        self._queue.extend(orders)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._queue:
+                todo, self._queue = self._queue, []
+                for order in todo:
+                    self._one(order)
+        finally:
+            self._busy = False
+        self._set_alarm()
+
+    def _one(self, order: Order) -> None:
+        if isinstance(order, Settle):
+            order.answer.may_have_run = order.request.maybe_ran
+            self._answer(order.request, order.answer)
+            self._withdraw(order.request)
+            return
+        attempt = order.attempt
+        if isinstance(order, Abort):
+            if not attempt.ended:
+                self.carrier.abort(attempt)
+                self.finish(attempt, Report(Outcome.ABORTED))
+            return
+        request = attempt.request
+        if request.ended or not self._permitted(request):
+            attempt.ended = True
+            return
+        attempt.begun = now_us()
+        request.attempts.append(attempt)
+        delay = max(0, attempt.until - attempt.begun) / 1e6
+        attempt.timer = asyncio.get_running_loop().call_later(delay, self.timed_out, attempt)
+        self.carrier.send(attempt)
+
+    def _permitted(self, request: Request) -> bool:
+        """Guards against a permission that ran out since: ends at once, claims no more than is known."""
+        if request.permitted is None or request.permitted():
+            return True
+        if not request.ended:
+            self._answer(request, Answer(Verdict.EXPIRED, may_have_run=request.maybe_ran))
+            self.run(self.decider.left(request))
+            self._withdraw(request)
+        return False
+
+    def _answer(self, request: Request, answer: Answer) -> None:
+        if request.ended:
+            return
+        request.ended = True
+        self.open.pop(request.key, None)
+        self.answers[answer.verdict] += 1
+        request.reply(answer)
+
+    def _withdraw(self, request: Request) -> None:
+        for attempt in request.attempts:
+            if not attempt.ended:
+                self._close(attempt)
+                self.carrier.abort(attempt)
+
+    @staticmethod
+    def _close(attempt: Attempt) -> None:
+        attempt.ended = True
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None
+
+    # ---- The decisions' own timers
+    def _set_alarm(self) -> None:
+        wait = self.decider.due_in()
+        if wait is None:
+            return
+        loop = asyncio.get_running_loop()
+        at = loop.time() + wait
+        if self._alarm is not None:
+            if self._alarm_at <= at:
+                return
+            self._alarm.cancel()
+        self._alarm, self._alarm_at = loop.call_at(at, self._ring), at
+
+    def _ring(self) -> None:
+        self._alarm = None
+        self.run(self.decider.tick())
--- /dev/null
+++ b/onyxpulley/facade.py
@@ -0,0 +1,189 @@
+"""The decision module in blocking style: pick, report, tick. Events, actions and timers stay in here."""
+
+from __future__ import annotations
+
+import heapq
+import sys
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from onyxpulley import interface as api
+from onyxpulley.control import Router
+from onyxpulley.core import (
+    Abort,
+    Answer,
+    Attempt,
+    Order,
+    Outcome,
+    Report,
+    Request,
+    Send,
+    Settle,
+    Verdict,
+    now_us,
+)
+from onyxpulley.settings import Json, read_settings
+
+OUTCOMES = {
+    Outcome.SERVED: api.Outcome.SERVED,
+    Outcome.ABSENT: api.Outcome.MISS,
+    Outcome.FULL: api.Outcome.FULL,
+    Outcome.FAILED: api.Outcome.ERROR,
+    Outcome.MOOT: api.Outcome.NEVER_SENT,
+    Outcome.TIMED_OUT: api.Outcome.TIMED_OUT,
+    Outcome.UNREACHABLE: api.Outcome.UNREACHABLE,
+    Outcome.BROKEN: api.Outcome.BROKEN,
+    Outcome.ABORTED: api.Outcome.CANCELLED,
+}
+STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One line of the list, as the bulletin words it. `boot_ms`: Unix, or 0."""
+
+    uid: str
+    endpoint: str
+    zone: str
+    model: str
+    cell: int
+    state: str
+    weight: float
+    boot_ms: int
+
+
+class Facade:
+    def __init__(self, params: Json, seed: int, clock: Callable[[], int] = now_us) -> None:
+        self.settings = read_settings(params)
+        self.classes = frozenset(c.name for c in self.settings.classes)
+        self.report_fields = self.settings.report
+        self.clock = clock
+        self.offset = time.time_ns() // 1000 - clock()  # fixed: one start is one stamp for the module
+        self.router = Router(self.settings, seed)
+        self.live: dict[str, Request] = {}
+        self.timers: list[tuple[int, int]] = []
+
+    # ---- Requests
+    def pick(self, request: Request) -> Sequence[Order]:
+        """What to do with a new request: an attempt, or its final answer."""
+        self.live[request.key] = request
+        left = request.due - self.clock()
+        return self._tell(
+            api.Request(
+                request.key,
+                request.cls,
+                request.item,
+                left,
+                request.group,
+                request.size_kb,
+                request.part,
+                repeat=request.again,
+                tenant=request.tenant,
+            )
+        )
+
+    def report(self, attempt: Attempt, report: Report, over: bool) -> Sequence[Order]:
+        """How an attempt ended; what to do next."""
+        orders = self._tell(
+            api.Finished(
+                attempt.request.key,
+                attempt.no,
+                attempt.server,
+                OUTCOMES[report.outcome],
+                self.clock() - attempt.begun,
+                over,
+                report.note,
+                report.waited,
+                report.load,
+                report.same,
+            )
+        )
+        if over:
+            self.live.pop(attempt.request.key, None)
+        return orders
+
+    def tick(self) -> Sequence[Order]:
+        """The module's timers that are due."""
+        now, orders = self.clock(), list[Order]()
+        while self.timers and self.timers[0][0] <= now:
+            orders += self._tell(api.TimerDue(heapq.heappop(self.timers)[1]))
+        return orders
+
+    def due_in(self) -> float | None:
+        return max(0.0, (self.timers[0][0] - self.clock()) / 1e6) if self.timers else None
+
+    def left(self, request: Request) -> Sequence[Order]:
+        orders = self._tell(api.ClientGone(request.key))
+        self.live.pop(request.key, None)
+        return orders
+
+    def settle(self, request: Request) -> Sequence[Order]:
+        """The final answer now, whatever is out."""
+        return self._orders(self.router.settle(self.clock(), request.key))
+
+    def recheck(self, attempt: Attempt) -> bool:
+        """May it still be written? Renews the age bound, which a purge may have tightened meanwhile."""
+        newer = self.router.recheck(self.clock(), attempt.request.key, attempt.no)
+        if newer is None:
+            return False
+        attempt.newer = newer
+        return True
+
+    # ---- The list
+    def roster(self, full: bool, members: Sequence[Member]) -> Sequence[Order]:
+        rows = tuple(
+            api.Entry(
+                m.uid,
+                m.zone,
+                m.model,
+                m.cell,
+                STATES[m.state],
+                m.weight,
+                max(1, m.boot_ms * 1000 - self.offset) if m.boot_ms else 0,
+            )
+            for m in members
+        )
+        return self._tell(api.Listing(api.ListKind.FULL if full else api.ListKind.CHANGES, rows))
+
+    def purge(self, item: str | None, group: int | None, issued_ms: int) -> Sequence[Order]:
+        age = max(0, time.time_ns() // 1000 - issued_ms * 1000)
+        return self._tell(api.Purged(group, age, item))
+
+    # ---- Translation
+    def _tell(self, event: api.Event) -> list[Order]:
+        return self._orders(self.router.handle(self.clock(), event))
+
+    def _orders(self, actions: Sequence[api.Action]) -> list[Order]:
+        orders: list[Order] = []
+        for action in actions:
+            if isinstance(action, api.SetTimer):
+                heapq.heappush(self.timers, (self.clock() + action.delay, action.token))
+            elif isinstance(action, api.Log):
+                print(action.text, file=sys.stderr, flush=True)
+            elif isinstance(action, api.Ask | api.Fetch | api.Refuse | api.Fail | api.Cancel):
+                request = self.live.get(action.id)
+                if request is not None:
+                    orders += self._order(request, action)
+        return orders
+
+    def _order(
+        self, request: Request, action: api.Ask | api.Fetch | api.Refuse | api.Fail | api.Cancel
+    ) -> Sequence[Order]:
+        match action:
+            case api.Refuse():
+                self.live.pop(request.key, None)
+                return [Settle(request, Answer(Verdict.REFUSED, later=action.come_back // 1000))]
+            case api.Fail():
+                self.live.pop(request.key, None)
+                return [Settle(request, Answer(Verdict.FAILED))]
+            case api.Cancel():
+                return [Abort(a) for a in request.attempts if a.no == action.attempt]
+        until = min(request.due, self.clock() + action.time_out)
+        attempt = Attempt(request, request.made, action.server, None, until)
+        request.made += 1
+        if isinstance(action, api.Fetch):
+            attempt.source = action.source if action.source != action.server else None
+            attempt.rank, attempt.newer, attempt.join = action.rank, action.max_age, action.join
+            attempt.only_held, attempt.renew = action.only_held, action.renew
+        return [Send(attempt)]
--- a/onyxpulley/interface.py
+++ b/onyxpulley/interface.py
@@ -180,6 +180,7 @@
     note: int = Note.NONE
     waited: int = 0
     load: tuple[float, ...] = ()
+    bare: bool = False  # the client's own copy was confirmed: no bytes came, so its time tells no pace
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/onyxpulley/servers.py
@@ -0,0 +1,317 @@
+"""Connections to caches, parents and the origin: the line protocol, many requests on each connection."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import sys
+import time
+from collections import deque
+from typing import TYPE_CHECKING
+
+from onyxpulley import fields
+from onyxpulley.buffers import Buffer
+from onyxpulley.core import Attempt, Exchange, Outcome, Report, now_us
+
+if TYPE_CHECKING:
+    from onyxpulley.config import Limits
+
+OUTCOMES = {
+    "data": Outcome.SERVED,
+    "unchanged": Outcome.SERVED,
+    "absent": Outcome.ABSENT,
+    "full": Outcome.FULL,
+    "failed": Outcome.FAILED,
+    "moot": Outcome.MOOT,
+}
+TELLS = "local pulled pulled_far rode expired turned_away cut_off not_there no_place far_fault"
+NOTES = {word: no for no, word in enumerate(TELLS.split(" "), 1)}
+LONGEST = 240_000  # bytes of an object
+LINE = 2_048
+LANES = 4  # connections to one server
+
+
+class Lane:
+    """One connection to a server. Holds what is out on it and what waits to be written."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.buffer = Buffer(16_384, LONGEST + 2 * LINE)
+        self.out: dict[str, Attempt] = {}
+        self.waiting: deque[Attempt | bytes] = deque()
+        self.up, self.closed = False, False
+        self.heard = self.used = now_us()
+        self.wake = asyncio.Event()
+        self.tasks = {asyncio.create_task(self._run())}
+
+    def fit(self, now: int, silence: int, idle: int) -> bool:
+        """May it take new work? Not while what is out there goes unanswered, nor when it may idle out."""
+        if self.closed or (self.out and now - max(self.heard, self.used_first()) > silence):
+            return False
+        return bool(self.out or self.waiting) or now - self.used < idle
+
+    def used_first(self) -> int:
+        return next(iter(self.out.values())).begun
+
+    def load(self) -> int:
+        return len(self.out) + len(self.waiting)
+
+    def holds(self, attempt: Attempt) -> bool:
+        txn = attempt.request.txn
+        return txn in self.out or any(isinstance(w, Attempt) and w.request.txn == txn for w in self.waiting)
+
+    def push(self, what: Attempt | bytes) -> None:
+        self.waiting.append(what)
+        self.used = now_us()
+        self.wake.set()
+
+    # ---- One task connects and reads, another writes
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        why = Outcome.BROKEN
+        try:
+            try:
+                async with asyncio.timeout(self.pool.limits.connect_timeout):
+                    await loop.sock_connect(self.sock, self.pool.address)
+            except (OSError, TimeoutError):
+                why = Outcome.UNREACHABLE
+                return
+            self.up, self.heard = True, now_us()
+            self.tasks.add(asyncio.create_task(self._write(loop)))
+            while True:
+                got = await loop.sock_recv_into(self.sock, self.buffer.room())
+                if not got:
+                    return
+                self.heard = now_us()
+                self.buffer.end += got
+                self._parse()
+        except (OSError, BufferError, ValueError) as problem:
+            if not isinstance(problem, OSError):
+                print(f"server {self.pool.uid}: bad answer: {problem}", file=sys.stderr, flush=True)
+        finally:
+            self.close(why)
+
+    async def _write(self, loop: asyncio.AbstractEventLoop) -> None:
+        try:
+            while not self.closed:
+                await self.wake.wait()
+                self.wake.clear()
+                while self.waiting:
+                    batch, size = [], 0
+                    while self.waiting and size < 65_536:
+                        piece = self._encode(self.waiting.popleft())
+                        batch.append(piece)
+                        size += len(piece)
+                    if size:
+                        await loop.sock_sendall(self.sock, b"".join(batch))
+        except OSError:
+            self.close(Outcome.BROKEN)
+
+    def _encode(self, what: Attempt | bytes) -> bytes:
+        """The rules are checked once more here, at the write."""
+        if isinstance(what, bytes):
+            return what
+        if not self.pool.exchange.clear(what):
+            return b""
+        request = what.request
+        self.out[request.txn] = what
+        limit = max(1, (what.until - now_us()) // 1000)
+        text = f"fetch {request.txn} cls={request.cls},item={request.item},chunk={request.part},limit={limit}"
+        if what.source is not None:
+            text += f",fetch={what.source}"
+        if what.rank:
+            text += f",retain={what.rank}"
+        if what.newer:
+            text += f",newer={max(1, what.newer // 1000)}"
+        manner = [
+            word
+            for word, wanted in (
+                ("wait-for", what.join),
+                ("no-fetch", what.only_held),
+                ("background", what.renew),
+            )
+            if wanted
+        ]
+        if manner:
+            text += f",handle={'+'.join(manner)}"
+        if request.have:
+            text += f",holds={request.have}"
+        if request.signature and self.pool.wants_signature:
+            text += f",signature={request.signature}"
+        return b"%s %d\r\n%s\r\n" % (text.encode(), len(request.body), request.body)
+
+    def _parse(self) -> None:
+        buffer = self.buffer
+        while buffer.start < buffer.end:
+            at = buffer.data.find(b"\r\n", buffer.start, buffer.end)
+            if at < 0:
+                if buffer.end - buffer.start > LINE:
+                    raise ValueError("line too long")
+                return
+            words = buffer.data[buffer.start : at].decode("ascii").split(" ")
+            after = at + 2
+            body = b""
+            if len(words) == 4:
+                size = fields.number(words[3], 0, LONGEST)
+                if buffer.end < after + size + 2:
+                    return
+                body = bytes(memoryview(buffer.data)[after : after + size])
+                if buffer.data[after + size : after + size + 2] != b"\r\n":
+                    raise ValueError("no line end after the bytes")
+                after += size + 2
+            elif not 2 <= len(words) <= 3:
+                raise ValueError(f"{len(words)} words")
+            buffer.start = after
+            self._answer(words, body)
+
+    def _answer(self, words: list[str], body: bytes) -> None:
+        outcome = OUTCOMES.get(words[1])
+        attempt = self.out.pop(words[0], None)
+        self.used = now_us()
+        if attempt is None:
+            return  # given up meanwhile
+        if outcome is None:
+            self.pool.exchange.finish(attempt, Report(Outcome.FAILED))
+            return
+        report = Report(outcome, body=body, same=words[1] == "unchanged")
+        try:
+            row = fields.read(words[2]) if len(words) > 2 else {}
+            report.tag = row.get("version", "")
+            report.note = NOTES.get(row.get("tell", ""), 0)
+            report.waited = int(float(row.get("took", "0")) * 1000)
+            report.stamp = int(row.get("stamp", "0"))
+            if "meter" in row:
+                report.load = self.pool.read_load(row["meter"])
+        except ValueError as problem:
+            print(f"server {self.pool.uid}: bad field: {problem}", file=sys.stderr, flush=True)
+        self.pool.exchange.finish(attempt, report)
+
+    def close(self, why: Outcome) -> None:
+        """What waited was never written; what is out may have run."""
+        if self.closed:
+            return
+        self.closed = True
+        self.pool.lanes.remove(self)
+        current = asyncio.current_task()
+        for task in self.tasks:
+            if task is not current:
+                task.cancel()
+        self.sock.close()
+        out, waiting = list(self.out.values()), list(self.waiting)
+        self.out.clear()
+        self.waiting.clear()
+        for attempt in out:
+            self.pool.exchange.finish(attempt, Report(why))
+        for what in waiting:
+            if isinstance(what, Attempt):
+                self.pool.again(what, why)
+
+
+class Pool:
+    """All connections to one server, known by its id."""
+
+    def __init__(self, uid: str, endpoint: str, exchange: Exchange, limits: Limits) -> None:
+        self.uid, self.endpoint, self.exchange, self.limits = uid, endpoint, exchange, limits
+        host, _, port = endpoint.rpartition(":")
+        self.address = (host, int(port))
+        self.lanes: list[Lane] = []
+        self.most = LANES
+        self.wants_signature = uid in limits.signature_boxes
+
+    def read_load(self, text: str) -> tuple[float, ...]:
+        pairs = dict(p.split(":", 1) for p in text.split(";") if ":" in p)
+        return tuple(float(v) for v in pairs.values())
+
+    def send(self, attempt: Attempt) -> None:
+        now = now_us()
+        idle = int(self.limits.idle * 0.8e6)
+        silence = int(self.limits.connect_timeout * 1e6)
+        fit = [
+            lane
+            for lane in self.lanes
+            if lane.fit(now, silence, idle) and lane.load() < self.limits.streams and not lane.holds(attempt)
+        ]
+        best = min(fit, key=Lane.load, default=None)
+        if best is None or (best.load() > 8 and len(self.lanes) < self.most):
+            if len(self.lanes) >= 2 * LANES:  # all silent: bounds descriptors
+                quiet = min(self.lanes, key=lambda lane: lane.heard)
+                quiet.close(Outcome.TIMED_OUT)
+            best = Lane(self)
+            self.lanes.append(best)
+        best.push(attempt)
+
+    def again(self, attempt: Attempt, why: Outcome) -> None:
+        """Its connection never came up, or ended before it was written: nothing ran."""
+        if attempt.ended:
+            return
+        up = [lane for lane in self.lanes if lane.up and lane.fit(now_us(), 10**5, 10**6)]
+        if why is Outcome.UNREACHABLE and up and not up[0].holds(attempt):
+            self.most = max(1, len(self.lanes))  # it accepts no more: use what there is
+            up[0].push(attempt)
+            return
+        self.exchange.finish(attempt, Report(Outcome.UNREACHABLE))
+
+    def close(self) -> None:
+        for lane in list(self.lanes):
+            lane.close(Outcome.BROKEN)
+
+
+class Servers:
+    """The carrier of the core on the platform's wire."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.exchange: Exchange
+        self.pools: dict[str, Pool] = {}
+        self.retired: list[Pool] = []
+
+    def listed(self, uid: str, endpoint: str, state: str) -> None:
+        """A change of the list. An address may pass to another server, so connections go by id."""
+        pool = self.pools.get(uid)
+        if pool is not None and (state == "Gone" or pool.endpoint != endpoint):
+            self.retired.append(self.pools.pop(uid))
+            pool = None
+        if pool is None and state != "Gone":
+            self.pools[uid] = Pool(uid, endpoint, self.exchange, self.limits)
+
+    def send(self, attempt: Attempt) -> None:
+        pool = self.pools.get(attempt.server)
+        if pool is None:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.exchange.finish, attempt, Report(Outcome.UNREACHABLE))
+            return
+        pool.send(attempt)
+
+    def abort(self, attempt: Attempt) -> None:
+        txn = attempt.request.txn
+        for pool in (self.pools.get(attempt.server), *self.retired):
+            for lane in pool.lanes if pool else ():
+                if lane.out.get(txn) is attempt:
+                    del lane.out[txn]
+                    lane.push(b"abort %s\r\n" % txn.encode())
+                    return
+                if attempt in lane.waiting:
+                    lane.waiting.remove(attempt)
+                    return
+
+    def sweep(self) -> None:
+        """Closes what is idle for the settings' time, and what its server left behind."""
+        now = now_us()
+        for pool in (*self.pools.values(), *self.retired):
+            for lane in list(pool.lanes):
+                if not lane.load() and lane.up:
+                    gone = pool in self.retired
+                    if gone or now - lane.used > self.limits.idle * 0.9e6:
+                        lane.close(Outcome.BROKEN)
+        self.retired = [pool for pool in self.retired if pool.lanes]
+
+    def close(self) -> None:
+        for pool in (*self.pools.values(), *self.retired):
+            pool.close()
+
+
+def unix_ms() -> int:
+    return time.time_ns() // 1_000_000
