Play recorded exchanges against the program; let any proof clear a job to go on

Seen in a played exchange: a convert-job turned away by the origin (full) and then refused by the cache was answered 'failed' though nothing ran. control.py on_finished cleared job.ran only for attempt 0. Any attempt that was the only one of its request which could have run may clear it.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -295,11 +295,13 @@
         self.held = 0
         self.fit = False
         self.sock: socket.socket | None = None
+        self.accepting: asyncio.Task[None] | None = None
 
     def listen(self, address: tuple[str, int]) -> None:
         self.sock = listener(address)
 
     async def accept(self) -> None:
+        self.accepting = asyncio.current_task()
         assert self.sock is not None
         loop = asyncio.get_running_loop()
         while True:
@@ -327,6 +329,8 @@
             worst.close()
 
     def stop_listening(self) -> None:
+        if self.accepting is not None:  # uvloop keeps the socket open while an accept is under way
+            self.accepting.cancel()
         if self.sock is not None:
             self.sock.close()
             self.sock = None
--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -84,6 +84,7 @@
     def __init__(self, router: Router, job: Job, server: Server, source: Server | None) -> None:
         self.job, self.no, self.server, self.source, self.sent = job, job.made, server, source, router.now
         self.expect, self.work, self.miss, self.looks, self.moved = 0.0, 0.0, 1.0, 0, False
+        self.first = False  # until it was sent nothing of its request may have run
         self.held, self.known = False, False  # only what cache and source hold; size told or learned
         self.booked = [s for s in (server, source) if s and router.warmth(s) < 1.0]  # counted as cold
 
@@ -496,7 +497,8 @@
         attempt.expect = (work * (1.0 if attempt.known else UNSEEN) + self.lag) * max(1.0, server.slow)
         job.made += 1
         job.open[attempt.no] = attempt
-        if not job.ran:
+        attempt.first = not job.ran
+        if attempt.first:
             job.ran, job.ran_on, job.ran_at = True, server, self.now
         server.out[(req.id, attempt.no)] = attempt
         self.book(server, self.mean_of(req) if cached else work)
@@ -628,7 +630,7 @@
                 if party is not None:
                     party.trial = False
         proof = out in (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NEVER_SENT, Outcome.MISS)
-        if proof and not job.open and attempt.no == 0:
+        if proof and not job.open and attempt.first:  # any proof counts, not just that of the first attempt
             job.ran = False
         if event.over:
             for other in job.open.values():
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -64,6 +64,12 @@
         self.live: dict[str, Request] = {}
         self.timers: list[tuple[int, int]] = []
 
+    def safe(self, cls: str) -> bool:
+        return any(c.name == cls and c.effect is api.Effect.SAFE for c in self.settings.classes)
+
+    def deadline_ms(self, cls: str) -> int:
+        return next(c.deadline for c in self.settings.classes if c.name == cls) // 1000
+
     # ---- Requests
     def pick(self, request: Request) -> Sequence[Order]:
         """What to do with a new request: an attempt, or its final answer."""
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -7,17 +7,26 @@
 import signal
 import sys
 import time
+from collections.abc import Awaitable, Callable
 from enum import Enum
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
 from onyxpulley import config
 from onyxpulley.bulletin import Bulletin
-from onyxpulley.clients import Clients
+from onyxpulley.clients import Clients, listener
 from onyxpulley.core import Exchange
 from onyxpulley.facade import Facade
 from onyxpulley.servers import Servers
 
+if TYPE_CHECKING:
+    import socket
+
+    from onyxpulley.http import Connection
+    from onyxpulley.operator import Operator
+
 LINGER = 0.8  # seconds after SIGTERM in which requests may still come
 SWEEP = 0.5
 
@@ -31,8 +40,10 @@
 
 
 class Program:
-    def __init__(self, conf: config.Config) -> None:
-        self.conf, self.phase = conf, Phase.STARTING
+    def __init__(self, conf: config.Config, operator: Operator | None = None) -> None:
+        self.conf, self.phase, self.operator = conf, Phase.STARTING, operator
+        if operator is not None:
+            conf.limits.signature_boxes = operator.boxes
         self.facade = Facade(conf.settings, conf.seed)
         self.servers = Servers(conf.limits)
         self.exchange = Exchange(self.facade, self.servers, conf.limits.most_open)
@@ -40,6 +51,8 @@
         self.bulletin = Bulletin(conf.bulletin, 0, self.facade, self.exchange, self.servers)
         self.clients = Clients(self.exchange, self.facade.classes, conf.limits)
         self.term = asyncio.Event()
+        self.fronts: list[Front] = []
+        self.watch: list[Callable[[], object]] = []
 
     def enter(self, phase: Phase) -> None:
         self.phase = phase
@@ -61,7 +74,9 @@
             self.clients.listen(self.conf.listen)
         except OSError as problem:
             raise config.BadConfig(f"cannot listen on {self.conf.listen}: {problem}") from problem
+        self._operated()
         tasks = [
+            *(asyncio.create_task(front.accept()) for front in self.fronts),
             asyncio.create_task(self.bulletin.follow()),
             asyncio.create_task(self.clients.accept()),
             asyncio.create_task(self._sweep()),
@@ -76,14 +91,55 @@
         for task in tasks:
             task.cancel()
         self.clients.close()
+        for front in self.fronts:
+            front.close()
         self.servers.close()
         self.enter(Phase.STOPPED)
         return 0
 
+    def quiet(self) -> bool:
+        return self.clients.quiet() and not any(c.busy or c.calls for f in self.fronts for c in f.all)
+
+    def _operated(self) -> None:
+        """The signed front and the administration API, where the operator's file sets them up."""
+        if self.operator is None:
+            return
+        from onyxpulley.admin import Admin
+        from onyxpulley.identity import BadIdentity, Source
+        from onyxpulley.signed import Signed
+
+        operator = self.operator
+        try:
+            if operator.listen is not None:
+                signed = Signed(
+                    operator.public, operator.tenants, self.exchange, self.facade, bool(operator.boxes)
+                )
+                self.fronts.append(Front(operator.listen, signed.connection, self.clients))
+                self.watch.append(lambda: setattr(signed, "fit", self.clients.fit))
+            if operator.admin is not None and operator.files is not None:
+                source = Source(operator.files)
+                admin = Admin(operator.tenants, source, operator.allow, self.status)
+                self.fronts.append(Front(operator.admin, admin.connection, self.clients))
+                self.watch.append(source.reload)
+        except (OSError, BadIdentity) as problem:
+            raise config.BadConfig(f"operator's file: {problem}") from problem
+
+    def status(self) -> dict[str, Any]:
+        return {
+            "name": self.conf.name,
+            "phase": self.phase.value,
+            "bulletin": self.bulletin.no,
+            "servers": len(self.servers.pools),
+            "open": len(self.exchange.open),
+            "answers": {verdict.value: count for verdict, count in self.exchange.answers.items()},
+        }
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP)
             self.servers.sweep()
+            for step in self.watch:
+                step()
 
     async def _drain(self) -> None:
         start = time.monotonic()
@@ -91,25 +147,96 @@
         await asyncio.sleep(LINGER)
         self.enter(Phase.DRAINING)
         self.clients.stop_listening()
-        while not self.clients.quiet():
+        for front in self.fronts:
+            front.stop_listening()
+        while not self.quiet():
             if time.monotonic() - start > self.conf.limits.drain:
                 self.exchange.settle_all()
                 break
             self.clients.close_idle()
+            for front in self.fronts:
+                front.close_idle()
             await asyncio.sleep(0.01)
         end = time.monotonic() + 0.2
-        while not self.clients.quiet() and time.monotonic() < end:
+        while not self.quiet() and time.monotonic() < end:
             await asyncio.sleep(0.005)
 
 
-async def serve(conf: config.Config) -> int:
-    return await Program(conf).run()
+class Front:
+    """A listener that speaks HTTP. Its connections count with the platform's clients."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        connect: Callable[[socket.socket], Connection | Awaitable[Connection | None]],
+        clients: Clients,
+    ) -> None:
+        self.sock: socket.socket | None = listener(address)
+        self.connect, self.clients = connect, clients
+        self.all: set[Connection] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.accepting: asyncio.Task[None] | None = None
+
+    async def accept(self) -> None:
+        self.accepting = asyncio.current_task()
+        assert self.sock is not None
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(self.sock)
+            except OSError as problem:
+                print(f"accept: {problem}", file=sys.stderr, flush=True)
+                await asyncio.sleep(0.05)
+                continue
+            if len(self.clients.all) + len(self.tasks) >= self.clients.most:
+                sock.close()
+                continue
+            sock.setblocking(False)
+            task = asyncio.create_task(self._one(sock))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _one(self, sock: socket.socket) -> None:
+        made = self.connect(sock)
+        connection = await made if isinstance(made, Awaitable) else made
+        if connection is None:
+            return
+        self.all.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self.all.discard(connection)
+
+    def stop_listening(self) -> None:
+        if self.accepting is not None:
+            self.accepting.cancel()
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+    def close_idle(self) -> None:
+        for connection in [c for c in self.all if not c.busy and not c.calls]:
+            connection.close()
+
+    def close(self) -> None:
+        self.stop_listening()
+        for connection in list(self.all):
+            connection.close()
+
+
+async def serve(conf: config.Config, operator: Operator | None) -> int:
+    return await Program(conf, operator).run()
 
 
 def main() -> int:
     try:
         conf = config.load(os.environ)
-        return uvloop.run(serve(conf))
+        operator = None
+        if os.environ.get("ONYXPULLEY_OPERATOR"):
+            from onyxpulley.operator import load  # the platform's front needs none of it
+
+            operator = load(Path(os.environ["ONYXPULLEY_OPERATOR"]))
+        return uvloop.run(serve(conf, operator))
     except config.BadConfig as problem:
         print(f"onyxpulley: {problem}", file=sys.stderr, flush=True)
         return 2
--- /dev/null
+++ b/onyxpulley/signed.py
@@ -0,0 +1,185 @@
+"""The second front: HTTP with signed URLs (RFC 9246) or bearer tokens, for many tenants.
+
+GET  /v1/TENANT/CLASS/ITEM/PART?group=17&kb=412.5     classes that are safe to repeat
+POST the same, with the work as the body              the others
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import re
+import secrets
+import time
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qsl
+
+from onyxpulley import fields
+from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
+from onyxpulley.http import Call, Connection, Plain, Response, told
+from onyxpulley.tenants import Denied, Tenant, Tenants, split_package
+
+if TYPE_CHECKING:
+    import socket
+
+    from onyxpulley.facade import Facade
+
+BODY = 48_000
+PATH = re.compile(r"/v1/([a-z0-9-]{1,63})/([A-Za-z0-9_-]{1,64})/([0-9a-f]{16})/(\d{1,9})")
+ETAG = re.compile(r'(?:W/)?"([A-Za-z0-9]{1,64})"')
+
+
+class Signed:
+    """Checks who may ask for what; the core does the rest."""
+
+    def __init__(
+        self, public: str, tenants: Tenants, exchange: Exchange, facade: Facade, forward: bool
+    ) -> None:
+        self.public, self.tenants = public.rstrip("/"), tenants
+        self.exchange, self.facade, self.forward = exchange, facade, forward
+        self.fit = True
+
+    def connection(self, sock: socket.socket) -> Connection:
+        return Connection(Plain(sock), self.handle, BODY)
+
+    async def handle(self, call: Call) -> Response:
+        if call.target == "/health":
+            status = HTTPStatus.OK if self.fit else HTTPStatus.SERVICE_UNAVAILABLE
+            return told(status, {"status": "fit" if self.fit else "unfit"})
+        try:
+            bare, package = split_package(call.target)
+            path, _, query = bare.partition("?")
+            where = PATH.fullmatch(path)
+            if where is None:
+                return told(HTTPStatus.NOT_FOUND, {"error": "no such resource", "ran": "no"})
+            token = package or bearer(call)
+            url = self.public + bare
+            name = where[1]
+            tenant = self.tenants.verify(name, token, url)
+            request = self.request(call, where, query, tenant)
+        except Denied as problem:
+            return self.denied(problem, "no")
+        except ValueError as problem:
+            return told(HTTPStatus.BAD_REQUEST, {"error": str(problem), "ran": "no"})
+        if call.method not in self.methods(request.cls):
+            allow = ", ".join(self.methods(request.cls))
+            return told(HTTPStatus.METHOD_NOT_ALLOWED, {"error": "method", "ran": "no"}, Allow=allow)
+        wait = tenant.admit(time.monotonic())
+        if wait:
+            tenant.count("over quota")
+            retry = str(max(1, math.ceil(wait)))
+            return told(HTTPStatus.TOO_MANY_REQUESTS, {"error": "over quota", "ran": "no"}, Retry_After=retry)
+
+        def permitted() -> bool:
+            """Checked anew before every attempt: time, key and tenant may have changed."""
+            try:
+                return self.tenants.verify(name, token, url).owns(request.item)
+            except Denied:
+                return False
+
+        request.permitted = permitted
+        request.signature = token if self.forward else ""
+        return await self.carry(request, tenant)
+
+    def methods(self, cls: str) -> tuple[str, ...]:
+        return ("GET",) if self.facade.safe(cls) else ("POST",)
+
+    def request(self, call: Call, where: re.Match[str], query: str, tenant: Tenant) -> Request:
+        """Raises ValueError on what cannot be asked for, Denied on what is another tenant's."""
+        _, cls, item, part = where.groups()
+        if cls not in self.facade.classes:
+            raise ValueError("unknown class")
+        if not tenant.owns(item):
+            raise Denied("the object is not this tenant's", "insufficient_scope")
+        pairs = parse_qsl(query, keep_blank_values=True, strict_parsing=True) if query else []
+        row = dict(pairs)
+        if len(row) != len(pairs) or not {"group", "kb"}.issuperset(row):
+            raise ValueError("the query holds group and kb, once each")
+        if "group" not in row:
+            raise ValueError("group is missing")
+        size = float(row.get("kb", "0"))
+        if not 0 <= size < 1e9:
+            raise ValueError("bad kb")
+        limit = self.facade.deadline_ms(cls)
+        if "x-deadline-ms" in call.headers:
+            limit = min(limit, fields.number(call.headers["x-deadline-ms"], 1, 3_600_000))
+        tag = ETAG.fullmatch(call.headers.get("if-none-match", ""))
+        return Request(
+            txn=secrets.token_hex(8),
+            cls=cls,
+            item=item,
+            due=call.arrived + 1000 * limit,
+            reply=_nobody,
+            part=int(part),
+            group=fields.number(row["group"], 0, 255),
+            size_kb=size,
+            body=call.body,
+            have=tag[1] if tag else "",
+            tenant=tenant.name,
+        )
+
+    async def carry(self, request: Request, tenant: Tenant) -> Response:
+        """From the core's taking the request to its single answer; a client that leaves ends it."""
+        answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+
+        def reply(answer: Answer) -> None:
+            if not answered.done():
+                answered.set_result(answer)
+
+        request.reply = reply
+        tenant.open += 1
+        try:
+            self.exchange.take(request)
+            answer = await answered
+        except asyncio.CancelledError:
+            self.exchange.left(request)
+            tenant.count("left")
+            raise
+        finally:
+            # the tenant may have been changed meanwhile: its successor carries the counts on
+            (self.tenants.all.get(tenant.name) or tenant).open -= 1
+        tenant.count(answer.verdict.value)
+        return self.respond(answer, request)
+
+    def respond(self, answer: Answer, request: Request) -> Response:
+        ran = "unknown" if answer.may_have_run else "no"
+        match answer.verdict:
+            case Verdict.SERVED:
+                headers = {"ETag": f'"{answer.tag}"'} if answer.tag else {}
+                if answer.same:
+                    return Response(HTTPStatus.NOT_MODIFIED, b"", headers)
+                return Response(
+                    HTTPStatus.OK, answer.body, {"Content-Type": "application/octet-stream", **headers}
+                )
+            case Verdict.REFUSED:
+                retry = str(max(1, math.ceil(answer.later / 1000)))
+                row = {"error": "refused", "ran": ran if not self.facade.safe(request.cls) else "harmless"}
+                return told(HTTPStatus.SERVICE_UNAVAILABLE, row, Retry_After=retry)
+            case Verdict.EXPIRED:
+                return self.denied(Denied("no longer valid"), ran)
+            case Verdict.FAILED:
+                late = now_us() >= request.due - 10_000
+                status = HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
+                return told(status, {"error": "failed", "ran": ran})
+
+    @staticmethod
+    def denied(problem: Denied, ran: str) -> Response:
+        row = {"error": problem.code, "why": problem.why, "ran": ran}
+        if problem.code == "insufficient_scope":
+            return told(HTTPStatus.FORBIDDEN, row)
+        if problem.code == "invalid_request":
+            return told(HTTPStatus.BAD_REQUEST, row)
+        challenge = f'Bearer error="{problem.code}", error_description="{problem.why}"'
+        return told(HTTPStatus.UNAUTHORIZED, row, WWW_Authenticate=challenge)
+
+
+def bearer(call: Call) -> str:
+    scheme, _, token = call.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token.strip():
+        raise Denied("no token")
+    return token.strip()
+
+
+def _nobody(answer: Answer) -> None:
+    raise AssertionError("a request without a front")
--- /dev/null
+++ b/tests/player.py
@@ -0,0 +1,312 @@
+"""Plays a recorded exchange against the running program: its clients, servers, bulletin and HTTP callers.
+
+A line is `PARTY DIRECTION TEXT`. `>` is written by the party to the program, `<` must come from it next, in
+full. Parties: `c1`… clients of the platform's front (TEXT as words becomes a RESP array; a quoted TEXT goes
+as it is), `h1`… callers of the signed front, `a1`… of the administration API, servers by their id, `b` the
+bulletin. `{name}` takes part of one word and puts it in again later. Other lines: `wait S`, `term`, `exit N`,
+`PARTY end` (the program closes it), `PARTY close`, `ID refuse`, `ID silent`, `ID break`, `log lacks TEXT`.
+At the end nothing may be left unread at any party.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import socket
+import ssl
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+PATIENCE = 8.0
+ROOT = Path(__file__).parents[1]
+SETTINGS: dict[str, Any] = {
+    "azs": ["hub", "edge-1"],
+    "zone": "edge-1",
+    "peersTotal": 1,
+    "shapes": ["box", "parent", "origin"],
+    "classes": [
+        {"name": n, "objective": 400000, "deadline": d, "idempotency": e, "worth": 1}
+        for n, d, e in (
+            ("video-part", 5000000, "safe"),
+            ("page-file", 3000000, "safe"),
+            ("convert-job", 3000000, "unsafe"),
+        )
+    ],
+    "familyInfo": {
+        "parentKind": 1,
+        "originKind": 2,
+        "flowKbPerS": 1000.0,
+        "crewByZone": [0, 1],
+        "bypassAllowed": True,
+        "canJoin": True,
+        "noteLevel": "all",
+        "goodFor": [0, 20000000, 0],
+        "staleFor": [0, 0, 0],
+        "uncached": [False, False, True],
+        "clearedWithin": 6000000,
+        "purgeGrace": 500000,
+    },
+    "bounds": {
+        "secondCopies": True,
+        "cancelling": True,
+        "maxAttempts": 8,
+        "retryAfter": True,
+        "maxRetryAfter": 1000000,
+        "connectTimeout": 400000,
+        "connIdle": 15000000,
+        "streamsPerConn": 100,
+    },
+    "safety": {"drainGrace": 250000, "cold": 16000000, "coldFrom": 0.25, "tipMultiple": 4.0},
+    "stats": {"names": ["busy_reqs", "cpu_share"], "via": "answers"},
+}
+KINDS = {"c": ("edge-1", "box"), "p": ("hub", "parent"), "o": ("hub", "origin")}
+
+
+def resp(words: list[bytes]) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(w), w) for w in words)
+
+
+def raw(text: str) -> bytes:
+    return text.encode().decode("unicode_escape").encode("latin-1")
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class Party:
+    """One connection, or all connections of a server seen as one."""
+
+    def __init__(self) -> None:
+        self.got, self.news, self.ended = b"", asyncio.Event(), False
+        self.writer: asyncio.StreamWriter | None = None
+        self.server: asyncio.Server | None = None
+
+    async def read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writer, self.ended = writer, False
+        try:
+            while data := await reader.read(65536):
+                self.got += data
+                self.news.set()
+        except (OSError, asyncio.CancelledError):
+            pass
+        self.ended = True
+        self.news.set()
+        writer.close()
+
+    async def expect(self, pattern: re.Pattern[bytes] | None) -> re.Match[bytes] | None:
+        """What the pattern finds at the front; with none, that the connection ends with nothing more."""
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                found = pattern.match(self.got) if pattern else None
+                if found:
+                    self.got = self.got[found.end() :]
+                    return found
+                if pattern is None and self.ended:
+                    assert not self.got, self.got
+                    return None
+                self.news.clear()
+                await self.news.wait()
+
+
+class Play:
+    def __init__(self, folder: Path, fill: Any = None, operator: str = "", tls: Any = None) -> None:
+        self.folder, self.fill, self.operator, self.tls = folder, fill or (lambda text: text), operator, tls
+        self.parties: dict[str, Party] = {}
+        self.values: dict[str, str] = {}
+        self.ports = {name: free_port() for name in "cha"}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.rosters = 0
+        self.log = folder / "log"
+
+    async def start(self, servers: list[str]) -> None:
+        for name in ["b", *servers]:
+            party = self.parties[name] = Party()
+            party.server = await asyncio.start_server(party.read, "127.0.0.1", 0)
+        config = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.ports['c']}",
+            "seed": "0f",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "bulletin": f"127.0.0.1:{self.port('b')}",
+            "flow_bytes_per_s": 310000,
+            "link_bytes_per_s": 1240000,
+            "known": {"no": 1, "items": [self.roster(1, [(s, "Ready") for s in servers])]},
+            "settings": SETTINGS,
+        }
+        (self.folder / "config.json").write_text(json.dumps(config))
+        env = {**os.environ, "GW_CONFIG": str(self.folder / "config.json"), "GW_NAME": "n0"}
+        env["GW_LISTEN"] = config["listen"]  # type: ignore[assignment]
+        if self.operator:
+            path = self.folder / "operator.toml"
+            text = self.operator.replace("HTTP", str(self.ports["h"])).replace("ADMIN", str(self.ports["a"]))
+            path.write_text(text)
+            env["ONYXPULLEY_OPERATOR"] = str(path)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "onyxpulley"], cwd=ROOT, env=env, stderr=self.log.open("wb")
+        )
+        await self.expect("b", '"after 1\\n"')
+
+    def port(self, name: str) -> int:
+        server = self.parties[name].server
+        assert server is not None
+        return int(server.sockets[0].getsockname()[1])
+
+    def roster(self, no: int, rows: list[tuple[str, str]]) -> dict[str, Any]:
+        targets = [
+            {
+                "uid": uid,
+                "endpoint": f"127.0.0.1:{self.port(uid)}",
+                "az": KINDS[uid[0]][0],
+                "model": KINDS[uid[0]][1],
+                "pod_group": 0,
+                "state": state,
+                "capacity_hint": 4,
+                "boot_ms": 0,
+            }
+            for uid, state in rows
+        ]
+        return {"no": no, "roster": {"rev": no, "all": no == 1, "targets": targets}}
+
+    async def party(self, name: str) -> Party:
+        if name not in self.parties:
+            party = self.parties[name] = Party()
+            kind = name[0]
+            tls = self.tls(name) if kind == "a" else None
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.ports[kind], ssl=tls, server_hostname="onyxpulley" if tls else None
+            )
+            self.tasks.add(asyncio.create_task(party.read(reader, writer)))
+            party.writer = writer
+        return self.parties[name]
+
+    def put(self, text: str) -> str:
+        text = re.sub(r"\{(\w+)\}", lambda m: self.values.get(m[1], m[0]), text)
+        return str(self.fill(text))
+
+    def encode(self, name: str, text: str) -> bytes:
+        if text.startswith('"'):
+            return raw(text[1:-1])
+        if name[0] == "c" and name[1:].isdigit() and self.parties[name].server is None:
+            words = [raw(w) for w in text.split(" ")]
+            return resp(words)
+        if name[0] in "ha" and self.parties[name].server is None:
+            head, _, body = text.partition(" | ")
+            lines = head.split(" ; ")
+            return "\r\n".join(
+                [lines[0] + " HTTP/1.1", "Host: x", f"Content-Length: {len(body)}", *lines[1:], "", body]
+            ).encode()
+        return raw(text) + b"\r\n"
+
+    async def send(self, name: str, text: str) -> None:
+        party = await self.party(name)
+        assert party.writer is not None, f"{name} has no connection"
+        party.writer.write(self.encode(name, self.put(text)))
+        await party.writer.drain()
+
+    async def expect(self, name: str, text: str) -> None:
+        party = await self.party(name)
+        if name[0] in "ha" and party.server is None:  # the status line, then what the answer must hold
+            parts = [re.escape(p) for p in text.split(" ; ")]
+            pattern = (r"HTTP/1\.1 " + parts[0] + "".join(f"(?=.*?{p})" for p in parts[1:])).encode()
+            size = rb".*?\r\n(?:Content-Length: (?P<size>\d+)\r\n)?(?:Connection: close\r\n)?\r\n"
+            found = await party.expect(re.compile(pattern + size, re.S))
+            assert found is not None
+            body = int(found["size"] or 0)
+            await party.expect(re.compile(b".{%d}" % body, re.S))
+            return
+        data = self.encode(name, text).decode("latin-1")
+        regex = re.sub(
+            r"\\\{(\w+)\\\}",
+            lambda m: f"(?P<{m[1]}>[^ ,\\r\\n]+)",
+            re.escape(data),
+        )
+        # an open word changes the length that stands before it
+        if r"(?P<" in regex and data.startswith("*"):
+            regex = re.sub(r"\\\$\d+", r"\\$\\d+", regex)
+        try:
+            found = await party.expect(re.compile(regex.encode("latin-1")))
+        except TimeoutError:
+            raise AssertionError(f"{name}: wanted {data!r}, had {party.got!r}") from None
+        assert found is not None
+        self.values.update({k: v.decode() for k, v in found.groupdict().items()})
+
+    async def step(self, line: str) -> None:
+        name, verb, rest = (line.split(" ", 2) + ["", ""])[:3]
+        if name == "wait":
+            await asyncio.sleep(float(verb))
+        elif name == "term":
+            self.process.terminate()
+        elif name == "exit":
+            code = await asyncio.to_thread(self.process.wait, PATIENCE)
+            assert code == int(verb)
+        elif name == "log":
+            text = self.log.read_text()
+            assert (self.put(rest) in text) == (verb == "has"), text
+        elif name == "b" and verb == "lists":
+            self.rosters += 1
+            row = self.roster(1 + self.rosters, [(w.split("=")[0], w.split("=")[1]) for w in rest.split()])
+            await self.send("b", '"' + json.dumps(row).replace('"', '\\"') + '\\n"')
+        elif name == "b" and verb == "purges":
+            self.rosters += 1
+            recall = {"no": 1 + self.rosters, "recall": {"item": rest, "issued": int(time.time() * 1000)}}
+            await self.send("b", json.dumps(recall).replace("\\", "\\\\") + "\\n")
+        elif verb == ">":
+            await self.send(name, rest)
+        elif verb == "<":
+            await self.expect(name, rest)
+        elif verb == "end":
+            await (await self.party(name)).expect(None)
+        elif verb in ("close", "break"):
+            writer = self.parties[name].writer
+            assert writer is not None
+            writer.transport.abort() if verb == "break" else writer.close()
+        elif verb == "refuse":
+            server = self.parties[name].server
+            assert server is not None
+            server.close()
+        else:
+            raise ValueError(f"unknown step {line!r}")
+
+    async def run(self, lines: list[str]) -> None:
+        servers = lines[0].removeprefix("servers ").split()
+        try:
+            await self.start(servers)
+            for no, line in enumerate(lines[1:], 2):
+                try:
+                    await self.step(line)
+                except (AssertionError, TimeoutError, ssl.SSLError, OSError) as problem:
+                    raise AssertionError(
+                        f"step {no}: {line}\n{problem!r}\n{self.log.read_text()}"
+                    ) from problem
+            await asyncio.sleep(0.1)
+            left = {name: p.got for name, p in self.parties.items() if p.got}
+            assert not left, left
+            assert "Traceback" not in self.log.read_text(), self.log.read_text()
+        finally:
+            if self.process.poll() is None:
+                self.process.kill()
+            self.process.wait()
+            for task in self.tasks:
+                task.cancel()
+            for party in self.parties.values():
+                if party.server is not None:
+                    party.server.close()
+
+
+def read_cases(path: Path) -> list[tuple[str, list[str]]]:
+    """The exchanges of one file: each begins with `== its name`."""
+    cases: list[tuple[str, list[str]]] = []
+    for line in path.read_text().splitlines():
+        if line.startswith("== "):
+            cases.append((line[3:], []))
+        elif line.strip() and not line.startswith("#"):
+            cases[-1][1].append(line)
+    return cases
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,52 @@
+"""The recorded exchanges of the platform's front, played against the program."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from .player import SETTINGS, Play, read_cases
+
+CASES = read_cases(Path(__file__).parent / "exchanges" / "platform.txt")
+
+
+@pytest.mark.parametrize("lines", [pytest.param(lines, id=name) for name, lines in CASES])
+def test_exchange(lines: list[str], tmp_path: Path) -> None:
+    async def play() -> None:
+        await Play(tmp_path).run(lines)
+
+    asyncio.run(play())
+
+
+GOOD = {"listen": "127.0.0.1:9", "bulletin": "127.0.0.1:9", "settings": SETTINGS}
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("{", "config"),
+        (json.dumps({**GOOD, "listen": "nowhere"}), "listen is not host:port"),
+        (json.dumps({**GOOD, "settings": {}}), "classes"),
+        (json.dumps({**GOOD, "known": {"no": 1, "items": [{"no": 1, "roster": {}}]}}), "known"),
+    ],
+)
+def test_bad_config_is_one_clear_line(text: str, said: str, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(text)
+    env = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
+    run = subprocess.run(
+        [sys.executable, "-m", "onyxpulley"],
+        env={**env, "GW_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    lines = [line for line in run.stderr.splitlines() if line.startswith("onyxpulley: ")]
+    assert run.returncode == 2 and len(lines) == 1 and said in lines[0]
+    assert "Traceback" not in run.stderr
