--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -112,7 +112,12 @@
         self.call.headers[key] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
+        """A body that is announced too large is answered without being read."""
         self.size = 0
+        length = self.call.headers.get("content-length", "0")
+        if length.isdigit() and int(length) > self.most_body:
+            self.call.problem = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            self.on_message_complete()
 
     def on_body(self, data: bytes) -> None:
         self.size += len(data)
@@ -145,6 +150,8 @@
                     break
                 self.used = now_us()
                 self.parser.feed_data(room[:got])
+                if self.calls and self.calls[-1].problem:
+                    await asyncio.sleep(STALL)  # its answer ends the connection, and this task
                 if len(self.calls) > PIPELINED or self.size > 4 * self.most_body + HEADERS:
                     break
         except httptools.HttpParserUpgrade:
--- a/tests/player.py
+++ b/tests/player.py
@@ -217,7 +217,10 @@
             parts = [re.escape(p) for p in text.split(" ; ")]
             pattern = (r"HTTP/1\.1 " + parts[0] + "".join(f"(?=.*?{p})" for p in parts[1:])).encode()
             size = rb".*?\r\n(?:Content-Length: (?P<size>\d+)\r\n)?(?:Connection: close\r\n)?\r\n"
-            found = await party.expect(re.compile(pattern + size, re.S))
+            try:
+                found = await party.expect(re.compile(pattern + size, re.S))
+            except TimeoutError:
+                raise AssertionError(f"{name}: wanted {text!r}, had {party.got!r}") from None
             assert found is not None
             body = int(found["size"] or 0)
             await party.expect(re.compile(b".{%d}" % body, re.S))
