--- a/tests/player.py
+++ b/tests/player.py
@@ -112,6 +112,8 @@
                 if pattern is None and self.ended:
                     assert not self.got, self.got
                     return None
+                if self.ended and self.server is None:
+                    raise ConnectionResetError(f"ended after {self.got!r}")
                 self.news.clear()
                 await self.news.wait()
 
@@ -153,6 +155,15 @@
             [sys.executable, "-m", "onyxpulley"], cwd=ROOT, env=env, stderr=self.log.open("wb")
         )
         await self.expect("b", '"after 1\\n"')
+        self.tasks.add(asyncio.create_task(self.beat()))
+
+    async def beat(self) -> None:
+        """The number that the bulletin gives each second."""
+        while True:
+            await asyncio.sleep(1.0)
+            writer = self.parties["b"].writer
+            if writer is not None and not writer.is_closing():
+                writer.write(b"%d\n" % (1 + self.rosters))
 
     def port(self, name: str) -> int:
         server = self.parties[name].server
--- a/tests/test_signed.py
+++ b/tests/test_signed.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
 import hashlib
 import json
 import re
+import ssl
 import time
 from base64 import urlsafe_b64encode
 from collections.abc import Mapping
 from pathlib import Path
 
 import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
 from joserfc import jwt
 from joserfc.jwk import ECKey, OctKey
 
-from .player import Play, read_cases
+from .player import PATIENCE, Play, read_cases
 
 FOLDER = Path(__file__).parent / "exchanges"
 PUBLIC = "https://lecciones.example"
@@ -65,6 +70,112 @@
     return found[1] if found[2] else ""
 
 
+class Domain:
+    """A SPIFFE trust domain's signing certificate and the SVIDs it gives out (X509-SVID)."""
+
+    def __init__(self, folder: Path, name: str) -> None:
+        self.folder, self.name = folder, name
+        self.key = ec.generate_private_key(ec.SECP256R1())
+        self.root = self._make(self.key, "", None)
+        (folder / f"{name}.pem").write_bytes(self.root.public_bytes(serialization.Encoding.PEM))
+
+    def _make(
+        self, key: ec.EllipticCurvePrivateKey, uri: str, issuer: x509.Certificate | None
+    ) -> x509.Certificate:
+        now, ca = datetime.datetime.now(datetime.UTC), issuer is None
+        name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, self.name + uri[-8:])])
+        usage = [not ca, False, False, False, False, ca, ca, False, False]
+        build = (
+            x509.CertificateBuilder()
+            .subject_name(name)
+            .issuer_name(issuer.subject if issuer else name)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - datetime.timedelta(hours=1))
+            .not_valid_after(now + datetime.timedelta(hours=1))
+            .add_extension(x509.BasicConstraints(ca, None), True)
+            .add_extension(x509.KeyUsage(*usage), True)
+            .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), False)
+        )
+        if issuer is not None:
+            own = x509.AuthorityKeyIdentifier.from_issuer_public_key(self.key.public_key())
+            build = build.add_extension(own, False)
+        if uri:
+            names = x509.SubjectAlternativeName([x509.UniformResourceIdentifier(uri)])
+            build = build.add_extension(names, False)
+        return build.sign(self.key, hashes.SHA256())
+
+    def svid(self, file: str, uri: str) -> Path:
+        key = ec.generate_private_key(ec.SECP256R1())
+        pem = serialization.Encoding.PEM
+        (self.folder / f"{file}.pem").write_bytes(self._make(key, uri, self.root).public_bytes(pem))
+        (self.folder / f"{file}.key").write_bytes(
+            key.private_bytes(pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
+        )
+        return self.folder / f"{file}.pem"
+
+
+class Console(Play):
+    """A play with callers of the administration API, each with its SVID."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder, fill, operator() + ADMIN, self.context)
+        self.home, self.other, self.next = (Domain(folder, n) for n in ("home", "other", "next"))
+        uri = "spiffe://letra.example"
+        self.home.svid("svid", f"{uri}/router")
+        (folder / "bundle.pem").write_bytes((folder / "home.pem").read_bytes())
+        for domain, file, path in (
+            (self.home, "a1", uri + "/console"),
+            (self.home, "a2", uri + "/reader"),
+            (self.home, "a3", uri + "/else"),
+            (self.other, "a4", uri + "/console"),
+            (self.home, "a5", ""),
+            (self.home, "a6", "spiffe://other.example/console"),
+            (self.next, "a7", uri + "/console"),
+            (self.next, "next-svid", uri + "/router"),
+        ):
+            domain.svid(file, path)
+
+    def context(self, name: str) -> ssl.SSLContext:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.check_hostname = False  # a SPIFFE peer has no host name
+        for bundle in ("home", "next"):
+            context.load_verify_locations(self.folder / f"{bundle}.pem")
+        file = self.folder / f"{name[:2]}.pem"
+        context.load_cert_chain(file, file.with_suffix(".key"))
+        return context
+
+    async def step(self, line: str) -> None:
+        if line == "rotate":
+            for name in ("svid.key", "svid.pem"):
+                (self.folder / name).write_bytes((self.folder / f"next-{name}").read_bytes())
+            (self.folder / "bundle.pem").write_bytes((self.folder / "next.pem").read_bytes())
+            async with asyncio.timeout(PATIENCE):
+                while "files reloaded" not in self.log.read_text():
+                    await asyncio.sleep(0.05)
+        elif line.endswith("turned away"):
+            with pytest.raises((OSError, AssertionError)):
+                await self.send(line.split()[0], "GET /v1/tenants")
+                await self.expect(line.split()[0], "200")
+            self.parties.pop(line.split()[0], None)
+        else:
+            await super().step(line)
+
+
+ADMIN = """
+[admin]
+listen = "127.0.0.1:ADMIN"
+certificate = "svid.pem"
+key = "svid.key"
+bundle = "bundle.pem"
+trust_domain = "letra.example"
+allow = [
+    { id = "spiffe://letra.example/console", role = "write" },
+    { id = "spiffe://letra.example/reader", role = "read" },
+]
+"""
+
+
 def operator() -> str:
     def tenant(name: str, prefix: str, quota: float, *keys: str) -> str:
         text = f'[[tenants]]\nname = "{name}"\nissuer = "https://{name}.example"\naudience = "{PUBLIC}"\n'
@@ -90,3 +201,13 @@
         await Play(tmp_path, fill, operator()).run(lines)
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "lines", [pytest.param(lines, id=name) for name, lines in read_cases(FOLDER / "admin.txt")]
+)
+def test_admin(lines: list[str], tmp_path: Path) -> None:
+    async def play() -> None:
+        await Console(tmp_path).run(lines)
+
+    asyncio.run(play())
