--- a/onyxpulley/bulletin.py
+++ b/onyxpulley/bulletin.py
@@ -42,9 +42,9 @@
             item, lot, issued = recall.get("item"), recall.get("lot"), int(recall["issued"])
             if item is None and lot is None:
                 raise ValueError("a recall of nothing")
-            orders = self.facade.purge(
-                None if item is None else str(item), None if lot is None else int(lot), issued
-            )
+            item, lot = None if item is None else str(item), None if lot is None else int(lot)
+            self.exchange.copies.purge(item, lot, issued)
+            orders = self.facade.purge(item, lot, issued)
             self.exchange.run(orders)
         self.no = no
 
--- a/onyxpulley/config.py
+++ b/onyxpulley/config.py
@@ -19,6 +19,7 @@
     streams: int
     sockets: int
     most_open: int
+    copies: int  # bytes of copies of its own
     memory: int  # bytes that queued answers may hold together
     drain: float  # seconds from SIGTERM to the last answer
     signature_boxes: frozenset[str] = frozenset()
@@ -80,6 +81,7 @@
             streams=max(1, int(bounds.get("streamsPerConn", 100))),
             sockets=int(limits.get("sockets", 1024)),
             most_open=min(2_000, int(bounds.get("openCap", 2_000))),
+            copies=int(float(limits.get("memory_mb", 192)) * 1e6 * 0.3),
             memory=int(float(limits.get("memory_mb", 192)) * 1e6 / 4),
             drain=min(3.0, longest) + 0.4,
         ),
--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -41,6 +41,9 @@
 NO_FILL = (Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.SOURCE_LACKS, Note.ORIGIN_FAILED)
 MEMO = 40_000  # entries of each bounded memory: rankings, objects asked for, learned sizes
 RARE = 0.3  # weight of one sample that comes alone, at most: half learns late, double jumps at chance
+OWN_PART = 0.7  # part of the aim in which the router's own link must be done: 1.0 risks the aim in a rush
+OWN_MARGIN = 100 * MS  # an own copy is let go so much before its age is up: it is written a little later
+CONFIRM = 0.05  # cost of telling a client that its copy holds, as a part of the bytes
 EWMA = 0.1  # weight of one sample in the running means
 
 
@@ -138,6 +141,7 @@
         self.lag, self.fill_lag, self.retries = 20.0 * MS, 75.0 * MS, RETRY_MOST / 2
         self.asked, self.served, self.fills = Flow(LOAD_SPAN), Flow(LOAD_SPAN), Flow(LOAD_SPAN)
         self.heat: dict[str, Flow] = {}
+        self.own_free = 0.0  # when all that was answered from own copies will have left this router's link
         self.mean_cost = 100.0 * MS  # work per worth of the requests, lately
 
     # ---- Ranking, membership and warm-up
@@ -455,7 +459,11 @@
     # ---- Attempts, time-outs, retries, hedges
     def on_request(self, req: api.Request) -> None:
         cls = self.classes.get(req.cls) or api.ClassSettings(req.cls, req.time_left, req.time_left)
-        job = self.jobs[req.id] = Job(req, cls, self.now)
+        job = Job(req, cls, self.now)
+        if self.own_copy(job):
+            self.actions.append(api.Own(req.id))
+            return
+        self.jobs[req.id] = job
         job.stale = self.origin is not None and self.origin.full > FULL
         self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
         work = self.work_of(req)
@@ -472,6 +480,24 @@
             self.heat.clear()
         self.heat.setdefault(req.object, Flow(HEAT_SPAN)).add(self.now, work)
 
+    def own_copy(self, job: Job) -> bool:
+        """Serve this router's own copy? Within the age that a cache's copy may have, purges included, and as
+        long as the own link, which sends in the order of the answers, is done well within the aim. What it
+        takes spares the caches; past that they are quicker."""
+        req, cls = job.req, job.cls
+        if req.own is None or self.set.own_transfers <= 0 or cls.uncached:
+            return False
+        oldest = self.max_age(job) or cls.fresh
+        if oldest and req.own > oldest - OWN_MARGIN:
+            return False
+        work = self.work_of(req) * (CONFIRM if req.confirm else 1.0)
+        free = max(float(self.now), self.own_free) + work / self.set.own_transfers
+        within = min(OWN_PART * (cls.aim + cls.aim_stretch * work), job.due - self.now - LOOK_LEAST)
+        if max(work, free - self.now) > within:
+            return False
+        self.own_free = free
+        return True
+
     def attempt(self, job: Job) -> None:
         """Send once more where that is allowed, else answer (unless an attempt is still out)."""
         server = None
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -9,6 +9,8 @@
 from enum import Enum
 from typing import Protocol
 
+from onyxpulley.copies import Copies, Copy
+
 
 def now_us() -> int:
     """The clock of all spans."""
@@ -86,6 +88,7 @@
     ended: bool = False
     maybe_ran: bool = False
     made: int = 0
+    own: Copy | None = None
     attempts: list[Attempt] = field(default_factory=list)
 
 
@@ -134,6 +137,7 @@
     def tick(self) -> Sequence[Order]: ...
     def left(self, request: Request) -> Sequence[Order]: ...
     def settle(self, request: Request) -> Sequence[Order]: ...
+    def keeps(self, cls: str) -> bool: ...
     def recheck(self, attempt: Attempt) -> bool: ...
     def due_in(self) -> float | None: ...
 
@@ -148,8 +152,9 @@
 class Exchange:
     """All open requests of the program. Single-threaded; never calls itself while orders are carried out."""
 
-    def __init__(self, decider: Decider, carrier: Carrier, most_open: int) -> None:
+    def __init__(self, decider: Decider, carrier: Carrier, most_open: int, copies: Copies) -> None:
         self.decider, self.carrier, self.most_open = decider, carrier, most_open
+        self.copies = copies
         self.open: dict[str, Request] = {}
         self.answers: dict[Verdict, int] = dict.fromkeys(Verdict, 0)
         self.serial = 0
@@ -166,6 +171,7 @@
             self._answer(request, Answer(Verdict.REFUSED, later=500))
             return
         self.open[request.key] = request
+        request.own = self.copies.find((request.cls, request.item, request.part))
         self.run(self.decider.pick(request))
 
     def left(self, request: Request) -> None:
@@ -210,6 +216,9 @@
         served = report.outcome is Outcome.SERVED and not request.ended
         if served:
             self._answer(request, Answer(Verdict.SERVED, report.body, report.tag, report.same))
+            if not report.same and self.decider.keeps(request.cls):
+                name = (request.cls, request.item, request.part)
+                self.copies.keep(name, Copy(report.body, report.tag, report.stamp, request.group))
         self.run(self.decider.report(attempt, report, over=request.ended))
         if served:
             self._withdraw(request)
--- a/onyxpulley/drill.py
+++ b/onyxpulley/drill.py
@@ -122,6 +122,8 @@
                 "server": action.server,
                 "tryFor": action.time_out,
             }
+        case api.Own():
+            raise ValueError("the simulator's routers keep no copies of their own")
         case api.Refuse():
             return {"op": "overloadReply", "i": instance, "ref": action.id, "comeBack": action.come_back}
         case api.Fail():
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -6,7 +6,7 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from onyxpulley import interface as api
 from onyxpulley.control import Router
@@ -54,8 +54,11 @@
 
 
 class Facade:
-    def __init__(self, params: Json, seed: int, clock: Callable[[], int] = now_us) -> None:
-        self.settings = read_settings(params)
+    def __init__(
+        self, params: Json, seed: int, own_transfers: float = 0.0, clock: Callable[[], int] = now_us
+    ) -> None:
+        self.settings = replace(read_settings(params), own_transfers=own_transfers)
+        self.kept = frozenset(c.name for c in self.settings.classes if not c.uncached)
         self.classes = frozenset(c.name for c in self.settings.classes)
         self.report_fields = self.settings.report
         self.clock = clock
@@ -67,6 +70,9 @@
     def safe(self, cls: str) -> bool:
         return any(c.name == cls and c.effect is api.Effect.SAFE for c in self.settings.classes)
 
+    def keeps(self, cls: str) -> bool:
+        return cls in self.kept
+
     def deadline_ms(self, cls: str) -> int:
         return next(c.deadline for c in self.settings.classes if c.name == cls) // 1000
 
@@ -86,6 +92,8 @@
                 request.part,
                 repeat=request.again,
                 tenant=request.tenant,
+                own=request.own.age_us() if request.own is not None else None,
+                confirm=request.own is not None and bool(request.have) and request.have == request.own.tag,
             )
         )
 
@@ -167,16 +175,24 @@
                 heapq.heappush(self.timers, (self.clock() + action.delay, action.token))
             elif isinstance(action, api.Log):
                 print(action.text, file=sys.stderr, flush=True)
-            elif isinstance(action, api.Ask | api.Fetch | api.Refuse | api.Fail | api.Cancel):
+            elif isinstance(
+                action, api.Ask | api.Fetch | api.Own | api.Refuse | api.Fail | api.Cancel
+            ):
                 request = self.live.get(action.id)
                 if request is not None:
                     orders += self._order(request, action)
         return orders
 
     def _order(
-        self, request: Request, action: api.Ask | api.Fetch | api.Refuse | api.Fail | api.Cancel
+        self, request: Request, action: api.Ask | api.Fetch | api.Own | api.Refuse | api.Fail | api.Cancel
     ) -> Sequence[Order]:
         match action:
+            case api.Own():
+                self.live.pop(request.key, None)
+                copy = request.own
+                assert copy is not None
+                same = request.have == copy.tag != ""
+                return [Settle(request, Answer(Verdict.SERVED, b"" if same else copy.body, copy.tag, same))]
             case api.Refuse():
                 self.live.pop(request.key, None)
                 return [Settle(request, Answer(Verdict.REFUSED, later=action.come_back // 1000))]
--- a/onyxpulley/interface.py
+++ b/onyxpulley/interface.py
@@ -120,6 +120,7 @@
     purge_grace: int = 0
     purge_done: int = 10_000_000
     report: tuple[str, ...] = ()
+    own_transfers: float = 0.0  # at full pace, that fit on this router's own link; 0: it keeps no copies
 
 
 # Events
@@ -157,6 +158,8 @@
     write: bool = False
     repeat: bool = False
     tenant: str | None = None
+    own: int | None = None  # age of the copy that this router holds itself
+    confirm: bool = False  # that copy is the client's too: no bytes are needed
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,6 +243,13 @@
     renew: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Own:
+    """Serve the router's own copy."""
+
+    id: str
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     id: str
@@ -278,4 +288,4 @@
     text: str
 
 
-Action = Ask | Fetch | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | Log
+Action = Ask | Fetch | Own | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | Log
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -17,6 +17,7 @@
 from onyxpulley import config
 from onyxpulley.bulletin import Bulletin
 from onyxpulley.clients import Clients, listener
+from onyxpulley.copies import Copies
 from onyxpulley.core import Exchange
 from onyxpulley.facade import Facade
 from onyxpulley.servers import Servers
@@ -44,9 +45,9 @@
         self.conf, self.phase, self.operator = conf, Phase.STARTING, operator
         if operator is not None:
             conf.limits.signature_boxes = operator.boxes
-        self.facade = Facade(conf.settings, conf.seed)
+        self.facade = Facade(conf.settings, conf.seed, conf.link / conf.flow if conf.flow > 0 else 0.0)
         self.servers = Servers(conf.limits)
-        self.exchange = Exchange(self.facade, self.servers, conf.limits.most_open)
+        self.exchange = Exchange(self.facade, self.servers, conf.limits.most_open, Copies(conf.limits.copies))
         self.servers.exchange = self.exchange
         self.bulletin = Bulletin(conf.bulletin, 0, self.facade, self.exchange, self.servers)
         self.clients = Clients(self.exchange, self.facade.classes, conf.limits)
@@ -131,6 +132,7 @@
             "bulletin": self.bulletin.no,
             "servers": len(self.servers.pools),
             "open": len(self.exchange.open),
+            "copies": len(self.exchange.copies.all),
             "answers": {verdict.value: count for verdict, count in self.exchange.answers.items()},
         }
 
--- a/tests/player.py
+++ b/tests/player.py
@@ -199,6 +199,7 @@
         return self.parties[name]
 
     def put(self, text: str) -> str:
+        self.values["now"] = str(time.time_ns() // 1_000_000)
         text = re.sub(r"\{(\w+)\}", lambda m: self.values.get(m[1], m[0]), text)
         return str(self.fill(text))
 
