Bound lanes without ending slow answers; usage outlives a tenant's change; idle callers go

Read through: a ninth silent connection to a server would have closed the quietest one and with it a slow answer under way (servers.py Pool.send); a tenant removed and made anew could count open requests below zero (signed.py carry); bytes that trickle in held a caller's place for ever (http.py run).

--- a/onyxpulley/admin.py
+++ b/onyxpulley/admin.py
@@ -8,12 +8,13 @@
 import json
 import socket
 import sys
+import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any
 
 from onyxpulley.http import Call, Connection, Plain, Response, told
-from onyxpulley.identity import BadIdentity, Source, Tls
+from onyxpulley.identity import BadIdentity, Source, Tls, valid_until
 from onyxpulley.tenants import BadTenant, Tenant, Tenants, add_key, read_key, read_tenant
 
 BODY = 65_536
@@ -32,14 +33,15 @@
         generation = self.source.generation
         try:
             tls = Tls(plain, self.source.context)
-            peer = self.source.peer(await tls.handshake())
+            der = await tls.handshake()
+            peer, end = self.source.peer(der), valid_until(der)
         except (OSError, TimeoutError, BadIdentity) as problem:
             print(f"admin: turned away: {type(problem).__name__}", file=sys.stderr, flush=True)
             plain.close()
             return None
 
         async def handle(call: Call) -> Response:
-            if generation != self.source.generation:  # the files rotated: the peer must show itself anew
+            if generation != self.source.generation or time.time() >= end:  # the peer must show itself anew
                 call.keep = False
                 return told(HTTPStatus.UNAUTHORIZED, {"error": "identities were rotated, connect again"})
             return self.handle(peer, call)
@@ -121,7 +123,7 @@
         return told(HTTPStatus.OK, changed.shown())
 
     def _counts(self) -> dict[str, Any]:
-        return {t.name: {"open": t.open, **t.counts} for t in self.tenants.all.values()}
+        return {t.name: {"open": t.usage.open, **t.usage.counts} for t in self.tenants.all.values()}
 
 
 def _json(call: Call) -> dict[str, Any]:
--- a/onyxpulley/bulletin.py
+++ b/onyxpulley/bulletin.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import socket
 import sys
 from collections.abc import Callable, Sequence
@@ -17,6 +18,7 @@
 
 LINE = 1_000_000
 SILENT = 3.5  # seconds without the number that comes each second: the connection is dead
+UID = re.compile(r"[!-+\--~]{1,128}")
 PAUSE = 0.1, 1.0  # first and longest wait before connecting again
 
 
@@ -108,6 +110,8 @@
     if not host:
         raise ValueError("endpoint without a host")
     fields.number(port, 1, 65535)
+    if not UID.fullmatch(str(row["uid"])):
+        raise ValueError("an id that no wire can carry")
     return Member(
         uid=str(row["uid"]),
         endpoint=str(row["endpoint"]),
--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from onyxpulley import fields
@@ -292,6 +293,7 @@
         self.exchange, self.classes, self.limits = exchange, classes, limits
         self.all: set[Client] = set()
         self.most = limits.sockets // 3
+        self.beside: Callable[[], int] = lambda: 0  # connections of the other fronts
         self.held = 0
         self.fit = False
         self.sock: socket.socket | None = None
@@ -311,7 +313,7 @@
                 print(f"accept: {problem}", file=sys.stderr, flush=True)
                 await asyncio.sleep(0.05)
                 continue
-            if len(self.all) >= self.most:
+            if len(self.all) + self.beside() >= self.most:
                 idle = [c for c in self.all if c.idle()]
                 if not idle:
                     sock.close()
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -136,6 +136,13 @@
         self.calls.append(call)
         self.wake.set()
 
+    def idle(self) -> bool:
+        return not self.busy and not self.calls
+
+    def overdue(self) -> bool:
+        """No whole request for long: bytes that trickle in do not count."""
+        return self.idle() and now_us() - self.used > IDLE * 1e6
+
     # ---- Two tasks
     async def run(self) -> None:
         reader = asyncio.current_task()
@@ -144,11 +151,9 @@
         room = memoryview(bytearray(16_384))
         try:
             while not self.closed:
-                async with asyncio.timeout(IDLE if not self.calls and not self.busy else None):
-                    got = await self.stream.receive_into(room)
+                got = await self.stream.receive_into(room)
                 if not got:
                     break
-                self.used = now_us()
                 self.parser.feed_data(room[:got])
                 if self.calls and self.calls[-1].problem:
                     await asyncio.sleep(STALL)  # its answer ends the connection, and this task
@@ -182,7 +187,7 @@
                     response = Response(call.problem) if call.problem else await self._handle(call)
                     async with asyncio.timeout(STALL):
                         await self.stream.send_all(encode(response, call.keep, call.method == "HEAD"))
-                    self.busy = False
+                    self.busy, self.used = False, now_us()
                     if not call.keep:
                         return
         except (OSError, TimeoutError):
--- a/onyxpulley/identity.py
+++ b/onyxpulley/identity.py
@@ -62,6 +62,10 @@
     return uris[0]
 
 
+def valid_until(der: bytes) -> float:
+    return x509.load_der_x509_certificate(der).not_valid_after_utc.timestamp()
+
+
 @dataclass(frozen=True, slots=True)
 class Files:
     certificate: Path  # this program's SVID, with intermediates
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -53,6 +53,7 @@
         self.clients = Clients(self.exchange, self.facade.classes, conf.limits)
         self.term = asyncio.Event()
         self.fronts: list[Front] = []
+        self.clients.beside = lambda: sum(len(front.tasks) for front in self.fronts)
         self.watch: list[Callable[[], object]] = []
 
     def enter(self, phase: Phase) -> None:
@@ -99,7 +100,7 @@
         return 0
 
     def quiet(self) -> bool:
-        return self.clients.quiet() and not any(c.busy or c.calls for f in self.fronts for c in f.all)
+        return self.clients.quiet() and all(c.idle() for f in self.fronts for c in f.all)
 
     def _operated(self) -> None:
         """The signed front and the administration API, where the operator's file sets them up."""
@@ -140,6 +141,8 @@
         while True:
             await asyncio.sleep(SWEEP)
             self.servers.sweep()
+            for front in self.fronts:
+                front.sweep()
             for step in self.watch:
                 step()
 
@@ -190,9 +193,12 @@
                 print(f"accept: {problem}", file=sys.stderr, flush=True)
                 await asyncio.sleep(0.05)
                 continue
-            if len(self.clients.all) + len(self.tasks) >= self.clients.most:
-                sock.close()
-                continue
+            if len(self.clients.all) + self.clients.beside() >= self.clients.most:
+                idle = [c for c in self.all if c.idle()]
+                if not idle:
+                    sock.close()
+                    continue
+                min(idle, key=lambda c: c.used).close()
             sock.setblocking(False)
             task = asyncio.create_task(self._one(sock))
             self.tasks.add(task)
@@ -216,8 +222,12 @@
             self.sock.close()
             self.sock = None
 
+    def sweep(self) -> None:
+        for connection in [c for c in self.all if c.overdue()]:
+            connection.close()
+
     def close_idle(self) -> None:
-        for connection in [c for c in self.all if not c.busy and not c.calls]:
+        for connection in [c for c in self.all if c.idle()]:
             connection.close()
 
     def close(self) -> None:
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -236,11 +236,15 @@
         ]
         best = min(fit, key=Lane.load, default=None)
         if best is None or (best.load() > 8 and len(self.lanes) < self.most):
-            if len(self.lanes) >= 2 * LANES:  # all silent: bounds descriptors
-                quiet = min(self.lanes, key=lambda lane: lane.heard)
-                quiet.close(Outcome.TIMED_OUT)
-            best = Lane(self)
-            self.lanes.append(best)
+            if len(self.lanes) < 2 * LANES:
+                best = Lane(self)
+                self.lanes.append(best)
+            elif best is None:  # bounds descriptors; closing one would end slow answers that are under way
+                best = max(self.lanes, key=lambda lane: (not lane.holds(attempt), lane.heard))
+        if best.holds(attempt):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.exchange.finish, attempt, Report(Outcome.FULL))
+            return
         best.push(attempt)
 
     def again(self, attempt: Attempt, why: Outcome) -> None:
--- a/onyxpulley/signed.py
+++ b/onyxpulley/signed.py
@@ -67,7 +67,7 @@
             return told(HTTPStatus.METHOD_NOT_ALLOWED, {"error": "method", "ran": "no"}, Allow=allow)
         wait = tenant.admit(time.monotonic())
         if wait:
-            tenant.count("over quota")
+            tenant.usage.count("over quota")
             retry = str(max(1, math.ceil(wait)))
             return told(HTTPStatus.TOO_MANY_REQUESTS, {"error": "over quota", "ran": "no"}, Retry_After=retry)
 
@@ -128,18 +128,18 @@
                 answered.set_result(answer)
 
         request.reply = reply
-        tenant.open += 1
+        usage = tenant.usage
+        usage.open += 1
         try:
             self.exchange.take(request)
             answer = await answered
         except asyncio.CancelledError:
             self.exchange.left(request)
-            tenant.count("left")
+            usage.count("left")
             raise
         finally:
-            # the tenant may have been changed meanwhile: its successor carries the counts on
-            (self.tenants.all.get(tenant.name) or tenant).open -= 1
-        tenant.count(answer.verdict.value)
+            usage.open -= 1
+        usage.count(answer.verdict.value)
         return self.respond(answer, request)
 
     def respond(self, answer: Answer, request: Request) -> Response:
--- a/onyxpulley/tenants.py
+++ b/onyxpulley/tenants.py
@@ -88,6 +88,19 @@
     return Key(kid, alg, jwk)
 
 
+@dataclass(slots=True)
+class Usage:
+    """What a tenant uses now. Outlives a change of the tenant, not its removal."""
+
+    open: int = 0
+    tokens: float = 0.0  # of the bucket
+    filled: float = 0.0
+    counts: dict[str, int] = field(default_factory=dict)
+
+    def count(self, word: str) -> None:
+        self.counts[word] = self.counts.get(word, 0) + 1
+
+
 @dataclass(eq=False, slots=True)
 class Tenant:
     name: str
@@ -97,29 +110,23 @@
     quota_rps: float
     most_open: int
     keys: dict[str, Key] = field(default_factory=dict)
-    open: int = 0
-    tokens: float = 0.0  # of the bucket
-    filled: float = 0.0
-    counts: dict[str, int] = field(default_factory=dict)
+    usage: Usage = field(default_factory=Usage)
 
     def owns(self, item: str) -> bool:
         return item.startswith(self.prefixes)
 
     def admit(self, now: float) -> float:
         """Takes one request of the quota: 0, or the seconds until the next would fit."""
-        burst = max(1.0, self.quota_rps)
-        if self.open >= self.most_open:
+        burst, used = max(1.0, self.quota_rps), self.usage
+        if used.open >= self.most_open:
             return 1.0
-        self.tokens = min(burst, self.tokens + (now - self.filled) * self.quota_rps) if self.filled else burst
-        self.filled = now
-        if self.tokens < 1.0:
-            return (1.0 - self.tokens) / self.quota_rps
-        self.tokens -= 1.0
+        used.tokens = min(burst, used.tokens + (now - used.filled) * self.quota_rps) if used.filled else burst
+        used.filled = now
+        if used.tokens < 1.0:
+            return (1.0 - used.tokens) / self.quota_rps
+        used.tokens -= 1.0
         return 0.0
 
-    def count(self, word: str) -> None:
-        self.counts[word] = self.counts.get(word, 0) + 1
-
     def shown(self) -> dict[str, Any]:
         return {
             "name": self.name,
@@ -194,8 +201,7 @@
                 if any(a.startswith(b) or b.startswith(a) for b in tenant.prefixes):
                     raise BadTenant(f"prefix {a} is another tenant's")
         if old is not None:
-            tenant.open, tenant.counts = old.open, old.counts
-            tenant.tokens, tenant.filled = old.tokens, old.filled
+            tenant.usage = old.usage
         self.all[tenant.name] = tenant
 
     def verify(self, name: str, token: str, url: str) -> Tenant:
