--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -124,7 +124,8 @@
                 self.fronts.append(Front(operator.admin, admin.connection, self.clients))
                 self.watch.append(source.reload)
         except (OSError, BadIdentity) as problem:
-            raise config.BadConfig(f"operator's file: {problem}") from problem
+            what = "cannot listen" if isinstance(problem, OSError) else "identity"
+            raise config.BadConfig(f"operator's file: {what}: {problem}") from problem
 
     def status(self) -> dict[str, Any]:
         return {
--- a/tests/player.py
+++ b/tests/player.py
@@ -132,6 +132,18 @@
         for name in ["b", *servers]:
             party = self.parties[name] = Party()
             party.server = await asyncio.start_server(party.read, "127.0.0.1", 0)
+        for _ in range(5):  # another process may have taken a port meanwhile
+            self.launch(servers)
+            while "serving" not in self.log.read_text() and self.process.poll() is None:
+                await asyncio.sleep(0.02)
+            if self.process.poll() is None:
+                break
+            assert "cannot listen" in self.log.read_text(), self.log.read_text()
+            self.ports = {name: free_port() for name in "cha"}
+        await self.expect("b", '"after 1\\n"')
+        self.tasks.add(asyncio.create_task(self.beat()))
+
+    def launch(self, servers: list[str]) -> None:
         config = {
             "name": "n0",
             "listen": f"127.0.0.1:{self.ports['c']}",
@@ -151,11 +163,8 @@
             text = self.operator.replace("HTTP", str(self.ports["h"])).replace("ADMIN", str(self.ports["a"]))
             path.write_text(text)
             env["ONYXPULLEY_OPERATOR"] = str(path)
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "onyxpulley"], cwd=ROOT, env=env, stderr=self.log.open("wb")
-        )
-        await self.expect("b", '"after 1\\n"')
-        self.tasks.add(asyncio.create_task(self.beat()))
+        command = [sys.executable, "-m", "onyxpulley"]
+        self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=self.log.open("wb"))
 
     async def beat(self) -> None:
         """The number that the bulletin gives each second."""
