--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -13,6 +13,7 @@
 from onyxpulley import fields
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
+from onyxpulley.listeners import Listener
 
 if TYPE_CHECKING:
     from onyxpulley.config import Limits
@@ -286,42 +287,29 @@
             self.front.exchange.left(request)
 
 
-class Clients:
+class Clients(Listener):
     """The listener and all connections of the platform's front."""
 
     def __init__(self, exchange: Exchange, classes: frozenset[str], limits: Limits) -> None:
+        super().__init__()
         self.exchange, self.classes, self.limits = exchange, classes, limits
         self.all: set[Client] = set()
         self.most = limits.sockets // 3
         self.beside: Callable[[], int] = lambda: 0  # connections of the other fronts
         self.held = 0
         self.fit = False
-        self.sock: socket.socket | None = None
-        self.accepting: asyncio.Task[None] | None = None
 
-    def listen(self, address: tuple[str, int]) -> None:
-        self.sock = listener(address)
+    def admit(self) -> bool:
+        """Room for one more, in place of the longest idle one where there is none."""
+        if len(self.all) + self.beside() >= self.most:
+            idle = [c for c in self.all if c.idle()]
+            if not idle:
+                return False
+            min(idle, key=lambda c: c.used).close()
+        return True
 
-    async def accept(self) -> None:
-        self.accepting = asyncio.current_task()
-        assert self.sock is not None
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                sock, _ = await loop.sock_accept(self.sock)
-            except OSError as problem:
-                print(f"accept: {problem}", file=sys.stderr, flush=True)
-                await asyncio.sleep(0.05)
-                continue
-            if len(self.all) + self.beside() >= self.most:
-                idle = [c for c in self.all if c.idle()]
-                if not idle:
-                    sock.close()
-                    continue
-                min(idle, key=lambda c: c.used).close()
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.all.add(Client(self, sock))
+    def welcome(self, sock: socket.socket) -> None:
+        self.all.add(Client(self, sock))
 
     def shed(self) -> None:
         """Guards the memory against clients that do not read: the one that holds most goes."""
@@ -330,13 +318,6 @@
             print(f"client: {worst.held} bytes unread, closed", file=sys.stderr, flush=True)
             worst.close()
 
-    def stop_listening(self) -> None:
-        if self.accepting is not None:  # uvloop keeps the socket open while an accept is under way
-            self.accepting.cancel()
-        if self.sock is not None:
-            self.sock.close()
-            self.sock = None
-
     def close_idle(self) -> None:
         for client in [c for c in self.all if c.idle()]:
             client.close()
@@ -349,17 +330,3 @@
         self.stop_listening()
         for client in list(self.all):
             client.close()
-
-
-def listener(address: tuple[str, int]) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setblocking(False)
-    try:
-        sock.bind(address)
-        sock.listen(512)
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -11,6 +11,8 @@
 
 from onyxpulley.copies import Copies, Copy
 
+BODIES = 16_000_000  # bytes that open requests may have brought together
+
 
 def now_us() -> int:
     """The clock of all spans."""
@@ -157,7 +159,7 @@
         self.copies = copies
         self.open: dict[str, Request] = {}
         self.answers: dict[Verdict, int] = dict.fromkeys(Verdict, 0)
-        self.serial = 0
+        self.serial = self.bodies = 0
         self._queue: list[Order] = []
         self._busy = False
         self._alarm: asyncio.TimerHandle | None = None
@@ -167,7 +169,8 @@
     def take(self, request: Request) -> None:
         self.serial += 1
         request.key = f"q{self.serial}"
-        if len(self.open) >= self.most_open:  # bounds the memory of all open requests together
+        self.bodies += len(request.body)  # both bound the memory of all open requests together
+        if len(self.open) >= self.most_open or self.bodies > BODIES:
             self._answer(request, Answer(Verdict.REFUSED, later=500))
             return
         self.open[request.key] = request
@@ -178,8 +181,7 @@
         """The client stopped waiting: no answer is owed, what is out is given up."""
         if request.ended:
             return
-        request.ended = True
-        self.open.pop(request.key, None)
+        self._end(request)
         self.run(self.decider.left(request))
         self._withdraw(request)
 
@@ -278,11 +280,15 @@
     def _answer(self, request: Request, answer: Answer) -> None:
         if request.ended:
             return
-        request.ended = True
-        self.open.pop(request.key, None)
+        self._end(request)
         self.answers[answer.verdict] += 1
         request.reply(answer)
 
+    def _end(self, request: Request) -> None:
+        request.ended = True
+        self.open.pop(request.key, None)
+        self.bodies -= len(request.body)
+
     def _withdraw(self, request: Request) -> None:
         for attempt in request.attempts:
             if not attempt.ended:
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -19,7 +19,7 @@
 
 URL = 8_192
 HEADERS = 16_384
-PIPELINED = 16  # requests waiting on one connection
+PIPELINED = 4  # requests waiting on one connection
 STALL = 10.0
 IDLE = 30.0  # seconds a connection may stay without a request
 
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -16,10 +16,11 @@
 
 from onyxpulley import config
 from onyxpulley.bulletin import Bulletin
-from onyxpulley.clients import Clients, listener
+from onyxpulley.clients import Clients
 from onyxpulley.copies import Copies
 from onyxpulley.core import Exchange
 from onyxpulley.facade import Facade
+from onyxpulley.listeners import Listener
 from onyxpulley.servers import Servers
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
 
 LINGER = 0.8  # seconds after SIGTERM in which requests may still come
 SWEEP = 0.5
+HTTP = 96  # connections of one front: bounds what slow readers hold
 
 
 class Phase(Enum):
@@ -168,7 +170,7 @@
             await asyncio.sleep(0.005)
 
 
-class Front:
+class Front(Listener):
     """A listener that speaks HTTP. Its connections count with the platform's clients."""
 
     def __init__(
@@ -177,33 +179,24 @@
         connect: Callable[[socket.socket], Connection | Awaitable[Connection | None]],
         clients: Clients,
     ) -> None:
-        self.sock: socket.socket | None = listener(address)
+        super().__init__()
+        self.listen(address)
         self.connect, self.clients = connect, clients
         self.all: set[Connection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
-        self.accepting: asyncio.Task[None] | None = None
 
-    async def accept(self) -> None:
-        self.accepting = asyncio.current_task()
-        assert self.sock is not None
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                sock, _ = await loop.sock_accept(self.sock)
-            except OSError as problem:
-                print(f"accept: {problem}", file=sys.stderr, flush=True)
-                await asyncio.sleep(0.05)
-                continue
-            if len(self.clients.all) + self.clients.beside() >= self.clients.most:
-                idle = [c for c in self.all if c.idle()]
-                if not idle:
-                    sock.close()
-                    continue
-                min(idle, key=lambda c: c.used).close()
-            sock.setblocking(False)
-            task = asyncio.create_task(self._one(sock))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+    def admit(self) -> bool:
+        if len(self.tasks) >= HTTP or len(self.clients.all) + self.clients.beside() >= self.clients.most:
+            idle = [c for c in self.all if c.idle()]
+            if not idle:
+                return False
+            min(idle, key=lambda c: c.used).close()
+        return True
+
+    def welcome(self, sock: socket.socket) -> None:
+        task = asyncio.create_task(self._one(sock))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     async def _one(self, sock: socket.socket) -> None:
         made = self.connect(sock)
@@ -216,13 +209,6 @@
         finally:
             self.all.discard(connection)
 
-    def stop_listening(self) -> None:
-        if self.accepting is not None:
-            self.accepting.cancel()
-        if self.sock is not None:
-            self.sock.close()
-            self.sock = None
-
     def sweep(self) -> None:
         for connection in [c for c in self.all if c.overdue()]:
             connection.close()
--- a/onyxpulley/signed.py
+++ b/onyxpulley/signed.py
@@ -56,7 +56,8 @@
             token = package or bearer(call)
             url = self.public + bare
             name = where[1]
-            tenant = self.tenants.verify(name, token, url)
+            grant = self.tenants.verify(name, token, url)
+            tenant = grant.tenant
             request = self.request(call, where, query, tenant)
         except Denied as problem:
             return self.denied(problem, "no")
@@ -65,22 +66,32 @@
         if call.method not in self.methods(request.cls):
             allow = ", ".join(self.methods(request.cls))
             return told(HTTPStatus.METHOD_NOT_ALLOWED, {"error": "method", "ran": "no"}, Allow=allow)
+        once = bool(grant.jti) and not self.facade.safe(request.cls)
+        if once and grant.jti in tenant.usage.seen:
+            return self.denied(Denied("the token was used"), "unknown")
         wait = tenant.admit(time.monotonic())
         if wait:
             tenant.usage.count("over quota")
             retry = str(max(1, math.ceil(wait)))
             return told(HTTPStatus.TOO_MANY_REQUESTS, {"error": "over quota", "ran": "no"}, Retry_After=retry)
 
+        if once and not tenant.usage.first_use(grant):
+            row = {"error": "too many tokens in use", "ran": "no"}
+            return told(HTTPStatus.SERVICE_UNAVAILABLE, row, Retry_After="5")
+
         def permitted() -> bool:
             """Checked anew before every attempt: time, key and tenant may have changed."""
             try:
-                return self.tenants.verify(name, token, url).owns(request.item)
+                return self.tenants.verify(name, token, url).tenant.owns(request.item)
             except Denied:
                 return False
 
         request.permitted = permitted
         request.signature = token if self.forward else ""
-        return await self.carry(request, tenant)
+        response = await self.carry(request, tenant)
+        if once and response.status is not HTTPStatus.OK and not request.maybe_ran:
+            tenant.usage.seen.pop(grant.jti, None)  # it never ran: the token is good for another try
+        return response
 
     def methods(self, cls: str) -> tuple[str, ...]:
         return ("GET",) if self.facade.safe(cls) else ("POST",)
--- a/onyxpulley/tenants.py
+++ b/onyxpulley/tenants.py
@@ -23,6 +23,7 @@
     "RS256": ("RSA", 2048),
     "EdDSA": ("OKP", 0),
 }
+NONCES = 10_000  # of one tenant
 KEYS = 16  # of one tenant
 TENANTS = 1_000
 TOKEN = 4_096  # characters of a token
@@ -88,6 +89,15 @@
     return Key(kid, alg, jwk)
 
 
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """What a good token allows."""
+
+    tenant: Tenant
+    jti: str
+    exp: float
+
+
 @dataclass(slots=True)
 class Usage:
     """What a tenant uses now. Outlives a change of the tenant, not its removal."""
@@ -96,6 +106,17 @@
     tokens: float = 0.0  # of the bucket
     filled: float = 0.0
     counts: dict[str, int] = field(default_factory=dict)
+    seen: dict[str, float] = field(default_factory=dict)  # jti of accepted jobs, until when
+
+    def first_use(self, grant: Grant) -> bool:
+        """Takes the token of a job once (RFC 9246, jti). False: it was used, or no more can be remembered."""
+        now = time.time()
+        if len(self.seen) >= NONCES:
+            self.seen = {jti: end for jti, end in self.seen.items() if end > now}
+        if grant.jti in self.seen or len(self.seen) >= NONCES:
+            return False
+        self.seen[grant.jti] = grant.exp
+        return True
 
     def count(self, word: str) -> None:
         self.counts[word] = self.counts.get(word, 0) + 1
@@ -204,8 +225,8 @@
             tenant.usage = old.usage
         self.all[tenant.name] = tenant
 
-    def verify(self, name: str, token: str, url: str) -> Tenant:
-        """The tenant, if `token` is one of its own, good now and for this `url`. Raises Denied."""
+    def verify(self, name: str, token: str, url: str) -> Grant:
+        """What is allowed, if `token` is one of its own, good now and for this `url`. Raises Denied."""
         tenant = self.all.get(name)
         if tenant is None:
             raise Denied("unknown tenant")
@@ -230,7 +251,10 @@
                 raise Denied(f"{claim} is not supported")
         if not contains(claims.get("cdniuc"), url):
             raise Denied("the token is for another URI", "insufficient_scope")
-        return tenant
+        jti = claims.get("jti", "")
+        if not isinstance(jti, str) or len(jti) > 128:
+            raise Denied("jti is no text")
+        return Grant(tenant, jti, _date(claims, "exp"))
 
 
 def _signed_claims(tenant: Tenant, token: str) -> dict[str, Any]:
--- a/tests/test_signed.py
+++ b/tests/test_signed.py
@@ -46,7 +46,7 @@
         claims["nbf"] = time.time() + float(options["nbf"])
     if options.get("exp") == "never":
         del claims["exp"]
-    claims.update({name: options[name] for name in ("cdniip", "cdnicrit") if name in options})
+    claims.update({name: options[name] for name in ("cdniip", "cdnicrit", "jti") if name in options})
     header = {
         "alg": options.get("alg", "ES256" if key == "k2" else "HS256"),
         "kid": key.replace("forged", "k1"),
