--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -218,13 +218,22 @@
         served = report.outcome is Outcome.SERVED and not request.ended
         if served:
             self._answer(request, Answer(Verdict.SERVED, report.body, report.tag, report.same))
-            if not report.same and self.decider.keeps(request.cls):
-                name = (request.cls, request.item, request.part)
-                self.copies.keep(name, Copy(report.body, report.tag, report.stamp, request.group))
+            if self.decider.keeps(request.cls):
+                self._keep(request, report)
         self.run(self.decider.report(attempt, report, over=request.ended))
         if served:
             self._withdraw(request)
 
+    def _keep(self, request: Request, report: Report) -> None:
+        """What came is kept; a confirmation of the client's copy makes an own one of the same tag younger."""
+        name, body = (request.cls, request.item, request.part), report.body
+        if report.same:
+            own = self.copies.find(name)
+            if own is None or not report.tag or own.tag != report.tag:
+                return
+            body = own.body
+        self.copies.keep(name, Copy(body, report.tag, report.stamp, request.group))
+
     def timed_out(self, attempt: Attempt) -> None:
         if not attempt.ended:
             self.carrier.abort(attempt)
--- a/tests/player.py
+++ b/tests/player.py
@@ -3,8 +3,9 @@
 A line is `PARTY DIRECTION TEXT`. `>` is written by the party to the program, `<` must come from it next, in
 full. Parties: `c1`… clients of the platform's front (TEXT as words becomes a RESP array; a quoted TEXT goes
 as it is), `h1`… callers of the signed front, `a1`… of the administration API, servers by their id, `b` the
-bulletin. `{name}` takes part of one word and puts it in again later. Other lines: `wait S`, `term`, `exit N`,
-`PARTY end` (the program closes it), `PARTY close`, `ID refuse`, `ID silent`, `ID break`, `log lacks TEXT`.
+bulletin. `{name}` takes part of one word and puts it in again later; `{32 …}` and `{48001 bytes}` stand for
+what is too long to write. Other lines: `wait S`, `term`, `exit N`, `PARTY end` (the program closes it),
+`PARTY close`, `ID refuse`, `ID break`, `log has TEXT`, `log lacks TEXT`, `b lists ID=STATE`, `b purges ITEM`.
 At the end nothing may be left unread at any party.
 """
 
@@ -64,6 +65,7 @@
     "safety": {"drainGrace": 250000, "cold": 16000000, "coldFrom": 0.25, "tipMultiple": 4.0},
     "stats": {"names": ["busy_reqs", "cpu_share"], "via": "answers"},
 }
+ROW = "txn={:016x},limit=5000,item=7f3a9c21e0b4d655,part=0,group=1,ram=4"
 KINDS = {"c": ("edge-1", "box"), "p": ("hub", "parent"), "o": ("hub", "origin")}
 
 
@@ -213,6 +215,11 @@
         return str(self.fill(text))
 
     def encode(self, name: str, text: str) -> bytes:
+        if text == "{48001 bytes}":
+            return resp([*f"ASK 1 convert-job {ROW}".format(1).encode().split(), b"x" * 48_001])
+        if text == "{32 convert-job}" and name == "c1":
+            asks = [f"ASK {n} convert-job {ROW}".format(n).encode().split() for n in range(1, 33)]
+            return b"".join(resp(words) for words in asks)
         if text.startswith('"'):
             return raw(text[1:-1])
         if name[0] == "c" and name[1:].isdigit() and self.parties[name].server is None:
@@ -246,6 +253,11 @@
             body = int(found["size"] or 0)
             await party.expect(re.compile(b".{%d}" % body, re.S))
             return
+        if text.startswith("{32 "):
+            start = "abort {:016x}" if "abort" in text else "fetch {:016x} cls=convert-job"
+            for n in range(1, 33):
+                await party.expect(re.compile(start.format(n).encode() + rb"[^\r]*\r\n(\r\n)?"))
+            return
         data = self.encode(name, text).decode("latin-1")
         regex = re.sub(
             r"\\\{(\w+)\\\}",
--- a/tests/test_signed.py
+++ b/tests/test_signed.py
@@ -20,6 +20,9 @@
 from joserfc import jwt
 from joserfc.jwk import ECKey, OctKey
 
+from onyxpulley import operator as operators
+from onyxpulley.config import BadConfig
+
 from .player import PATIENCE, Play, read_cases
 
 FOLDER = Path(__file__).parent / "exchanges"
@@ -203,6 +206,36 @@
     asyncio.run(play())
 
 
+def test_the_example_of_the_operators_file_loads() -> None:
+    found = operators.load(Path(__file__).parents[1] / "deploy" / "operator.example.toml")
+    assert found.listen and found.admin and list(found.tenants.all) == ["centro-norte"]
+    assert found.allow == {"spiffe://letra.example/staff/console": "write"}
+
+
+TENANT = '[[tenants]]\nname = "{}"\nissuer = "i"\naudience = "a"\nprefixes = ["{}"]\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("nonsense", "no TOML"),
+        ("[sined]", "unknown key 'sined'"),
+        ('[signed]\nlisten = "nowhere"\npublic = "x"', "signed.listen is not host:port"),
+        (TENANT.format("a", "7") + TENANT.format("b", "7f"), "another tenant's"),
+        (TENANT.format("a", "7") + TENANT.format("a", "8"), "there twice"),
+        (TENANT.format("a", "xyz"), "hex digits"),
+        (TENANT.format("a", "7") + '[[tenants.keys]]\nkid="k"\nalg="none"\njwk={}', "alg is one of"),
+        (TENANT.format("a", "7") + '[[tenants.keys]]\nkid="k"\nalg="RS256"\njwk={kty="oct"}', "kty RSA"),
+    ],
+)
+def test_a_bad_operators_file_is_one_clear_line(text: str, said: str, tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(text)
+    with pytest.raises(BadConfig, match=re.escape(said)) as problem:
+        operators.load(path)
+    assert "\n" not in str(problem.value)
+
+
 @pytest.mark.parametrize(
     "lines", [pytest.param(lines, id=name) for name, lines in read_cases(FOLDER / "admin.txt")]
 )
