--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -55,7 +55,8 @@
 
 
 def score(obj: str, server: str, weight: float = 1.0) -> float:
-    """Winning hash of the design; a nominal weight is its load factor (CARP)."""
+    """Winning hash of the design; a nominal weight is its load factor (CARP). The key keeps the project's old
+    name: another one would move every object, and routers of two builds would disagree."""
     return -weight / math.log(draw(b"latchgrade", obj, server))
 
 
