Reload the configuration on SIGHUP instead of dying of it

Checked: the log ends at the signal; program.py had handlers for SIGTERM and SIGINT only, so SIGHUP kept its default action. Ruled out: the bulletin's resume, which already went on from the last number. Change: Program.reload reads GW_CONFIG whole or keeps the old; Bulletin.move ends the session at once and asks the new address after the same number; Limits change in place; signals are held back while the program loads and after its loop ends. A bulletin's silence is noticed after 2.5 s (3.5 s left half a second to the 4 s rule). Also guarded: a socket that is reset before it is taken no longer ends the accept loop. Test: a recorded exchange with two moves, a bad file and a reload in the drain; fails without it.

--- a/onyxpulley/bulletin.py
+++ b/onyxpulley/bulletin.py
@@ -7,7 +7,7 @@
 import re
 import socket
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 from onyxpulley import fields
@@ -17,8 +17,9 @@
 from onyxpulley.servers import Servers
 
 LINE = 1_000_000
-SILENT = 3.5  # seconds without the number that comes each second: the connection is dead
+SILENT = 2.5  # seconds without the number that comes each second: the connection is dead
 UID = re.compile(r"[!-+\--~]{1,128}")
+BAD = (ValueError, LookupError, TypeError, AttributeError, ArithmeticError, RecursionError, BufferError)
 PAUSE = 0.1, 1.0  # first and longest wait before connecting again
 
 
@@ -28,7 +29,8 @@
     ) -> None:
         self.address, self.no = address, no
         self.facade, self.exchange, self.servers = facade, exchange, servers
-        self.zones: Callable[[Member], bool] = lambda member: True
+        self.session: asyncio.Task[None] | None = None
+        self.pause = PAUSE[0]
 
     def event(self, row: dict[str, Any]) -> None:
         """One event in full or not at all. Raises ValueError, KeyError or TypeError on a bad one."""
@@ -59,35 +61,51 @@
             self.servers.listed(m.uid, m.endpoint, m.state)
         self.exchange.run(self.facade.roster(full, members))
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Goes on at another address from the same number, at once: the old one may stay open, silent."""
+        if address != self.address:
+            self.address, self.pause = address, PAUSE[0]
+            if self.session is not None:
+                self.session.cancel()
+
     async def follow(self) -> None:
         """Runs until cancelled. A bad line ends the connection; the next one resumes after the last good."""
+        try:
+            while True:
+                address = self.address
+                self.session = asyncio.create_task(self._listen())
+                await asyncio.wait([self.session])
+                if address == self.address:  # not moved: give the old one time
+                    await asyncio.sleep(self.pause)
+                    self.pause = min(PAUSE[1], 2 * self.pause)
+        finally:
+            if self.session is not None:
+                self.session.cancel()
+
+    async def _listen(self) -> None:
         loop = asyncio.get_running_loop()
-        pause = PAUSE[0]
-        while True:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.setblocking(False)
-            try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            async with asyncio.timeout(SILENT):
+                await loop.sock_connect(sock, self.address)
+                await loop.sock_sendall(sock, b"after %d\n" % self.no)
+            buffer = Buffer(16_384, LINE)
+            while True:
                 async with asyncio.timeout(SILENT):
-                    await loop.sock_connect(sock, self.address)
-                    await loop.sock_sendall(sock, b"after %d\n" % self.no)
-                buffer = Buffer(16_384, LINE)
-                while True:
-                    async with asyncio.timeout(SILENT):
-                        got = await loop.sock_recv_into(sock, buffer.room())
-                    if not got:
-                        break
-                    buffer.end += got
-                    while (line := buffer.line(LINE)) is not None:
-                        self._line(line)
-                    pause = PAUSE[0]
-            except (OSError, TimeoutError):
-                pass
-            except (ValueError, KeyError, TypeError, AttributeError, BufferError) as problem:
-                print(f"bulletin: bad line after {self.no}: {problem!r}"[:300], file=sys.stderr, flush=True)
-            finally:
-                sock.close()
-            await asyncio.sleep(pause)
-            pause = min(PAUSE[1], 2 * pause)
+                    got = await loop.sock_recv_into(sock, buffer.room())
+                if not got:
+                    return
+                buffer.end += got
+                while (line := buffer.line(LINE)) is not None:
+                    self._line(line)
+                self.pause = PAUSE[0]
+        except (OSError, TimeoutError):
+            pass
+        except BAD as problem:
+            print(f"bulletin: bad line after {self.no}: {problem!r}"[:300], file=sys.stderr, flush=True)
+        finally:
+            sock.close()
 
     def _line(self, line: bytes) -> None:
         text = line.strip()
--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -294,11 +294,14 @@
         super().__init__()
         self.exchange, self.classes, self.limits = exchange, classes, limits
         self.all: set[Client] = set()
-        self.most = limits.sockets // 3
         self.beside: Callable[[], int] = lambda: 0  # connections of the other fronts
         self.held = 0
         self.fit = False
 
+    @property
+    def most(self) -> int:
+        return self.limits.sockets // 3
+
     def admit(self) -> bool:
         """Room for one more, in place of the longest idle one where there is none."""
         if len(self.all) + self.beside() >= self.most:
--- a/onyxpulley/config.py
+++ b/onyxpulley/config.py
@@ -4,9 +4,11 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any
 
+from onyxpulley.settings import read_settings
+
 
 class BadConfig(Exception):
     """One clear line for the operator."""
@@ -24,6 +26,11 @@
     drain: float  # seconds from SIGTERM to the last answer
     signature_boxes: frozenset[str] = frozenset()
 
+    def take(self, other: Limits) -> None:
+        """All figures of another one, in place: whoever holds this one goes by them from now on."""
+        for item in fields(self):
+            setattr(self, item.name, getattr(other, item.name))
+
 
 @dataclass(slots=True)
 class Config:
@@ -38,6 +45,11 @@
     flow: float  # bytes a second of one transfer of its own
     link: float  # the same of all transfers together
 
+    @property
+    def transfers(self) -> float:
+        """How many transfers of its own fit on its link at full pace."""
+        return self.link / self.flow if self.flow > 0 else 0.0
+
 
 def address(text: str, what: str) -> tuple[str, int]:
     host, mark, port = text.rpartition(":")
@@ -62,6 +74,7 @@
 
 def _read(table: dict[str, Any], env: Mapping[str, str]) -> Config:
     settings = table["settings"]
+    read_settings(settings)  # what the decisions cannot read is a bad file, at the start and at a reload
     bounds = settings.get("bounds", {})
     limits = table.get("limits", {})
     classes = settings["classes"]
--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -145,6 +145,11 @@
         self.own_free = 0.0  # when all that was answered from own copies will have left this router's link
         self.mean_cost = 100.0 * MS  # work per worth of the requests, lately
 
+    def configure(self, settings: api.Settings) -> None:
+        """Other figures from now on; open jobs keep their class's, servers their roles."""
+        self.set, self.classes = settings, {c.name: c for c in settings.classes}
+        self.ranks.clear()
+
     # ---- Ranking, membership and warm-up
     def ranked(self, role: str, obj: str) -> tuple[Server, ...]:
         """Best first. Memoised until the list changes; only nominal weights enter, never live ones."""
--- a/onyxpulley/copies.py
+++ b/onyxpulley/copies.py
@@ -50,6 +50,10 @@
             self._drop(name)
         self.all[name] = copy
         self.size += cost
+        self.shrink(self.most)
+
+    def shrink(self, most: int) -> None:
+        self.most = most
         while self.size > self.most:
             self._drop(next(iter(self.all)))
 
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 
 from onyxpulley import interface as api
+from onyxpulley.config import BadConfig
 from onyxpulley.control import Router
 from onyxpulley.core import (
     Abort,
@@ -57,16 +58,28 @@
     def __init__(
         self, params: Json, seed: int, own_transfers: float = 0.0, clock: Callable[[], int] = now_us
     ) -> None:
-        self.settings = replace(read_settings(params), own_transfers=own_transfers)
-        self.kept = frozenset(c.name for c in self.settings.classes if not c.uncached)
-        self.classes = frozenset(c.name for c in self.settings.classes)
-        self.report_fields = self.settings.report
+        self._read(replace(read_settings(params), own_transfers=own_transfers))
         self.clock = clock
         self.offset = time.time_ns() // 1000 - clock()  # fixed: one start is one stamp for the module
         self.router = Router(self.settings, seed)
         self.live: dict[str, Request] = {}
         self.timers: list[tuple[int, int]] = []
 
+    def configure(self, params: Json, own_transfers: float) -> None:
+        """Other settings from now on. Raises BadConfig on those that would change what servers are to it."""
+        new, old = replace(read_settings(params), own_transfers=own_transfers), self.settings
+        if (new.zone, new.parent_kind, new.origin_kind) != (old.zone, old.parent_kind, old.origin_kind):
+            raise BadConfig("zone and kinds take a restart")
+        if new != old:
+            self._read(new)
+            self.router.configure(new)
+
+    def _read(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.kept = frozenset(c.name for c in settings.classes if not c.uncached)
+        self.classes = frozenset(c.name for c in settings.classes)
+        self.report_fields = settings.report
+
     def safe(self, cls: str) -> bool:
         return any(c.name == cls and c.effect is api.Effect.SAFE for c in self.settings.classes)
 
--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -40,12 +40,15 @@
                 print(f"accept: {problem}", file=sys.stderr, flush=True)
                 await asyncio.sleep(PAUSE)
                 continue
-            if not self.admit():
+            try:
+                if not self.admit():
+                    sock.close()
+                    continue
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.welcome(sock)
+            except OSError:  # reset before it was taken: this task must go on for the others
                 sock.close()
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.welcome(sock)
 
     def admit(self) -> bool:
         raise NotImplementedError
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -31,6 +31,7 @@
 
 LINGER = 0.8  # seconds after SIGTERM in which requests may still come
 SWEEP = 0.5
+SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 HTTP = 96  # connections of one front: bounds what slow readers hold
 
 
@@ -47,7 +48,7 @@
         self.conf, self.phase, self.operator = conf, Phase.STARTING, operator
         if operator is not None:
             conf.limits.signature_boxes = operator.boxes
-        self.facade = Facade(conf.settings, conf.seed, conf.link / conf.flow if conf.flow > 0 else 0.0)
+        self.facade = Facade(conf.settings, conf.seed, conf.transfers)
         self.servers = Servers(conf.limits)
         self.exchange = Exchange(self.facade, self.servers, conf.limits.most_open, Copies(conf.limits.copies))
         self.servers.exchange = self.exchange
@@ -67,6 +68,14 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.term.set)
         loop.add_signal_handler(signal.SIGINT, self.term.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+        try:
+            return await self._phases()
+        finally:  # the loop's handlers end with it, and a late signal must not turn a clean end into a death
+            signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
+    async def _phases(self) -> int:
         self.enter(Phase.STARTING)
         try:
             for row in self.conf.known:
@@ -101,6 +110,28 @@
         self.enter(Phase.STOPPED)
         return 0
 
+    def reload(self) -> None:
+        """SIGHUP, in any phase: reads GW_CONFIG anew. All of a file that can be used counts, nothing of one
+        that can't; requests and connections stay. Guards against dying of the signal."""
+        old = self.conf
+        try:
+            new = config.load(os.environ)
+            if (new.name, new.listen) != (old.name, old.listen):
+                raise config.BadConfig("name and listen take a restart")
+            self.facade.configure(new.settings, new.transfers)
+        except config.BadConfig as problem:
+            print(f"{old.name}: reload: kept the old settings: {problem}", file=sys.stderr, flush=True)
+            return
+        new.limits.signature_boxes = old.limits.signature_boxes  # of the operator's file
+        old.limits.take(new.limits)
+        new.limits, self.conf = old.limits, new
+        self.exchange.most_open = new.limits.most_open
+        self.exchange.copies.shrink(new.limits.copies)
+        self.clients.classes = self.facade.classes
+        self.bulletin.move(new.bulletin)
+        print(f"{new.name}: reloaded, bulletin {':'.join(map(str, new.bulletin))} after {self.bulletin.no}",
+              file=sys.stderr, flush=True)  # fmt: skip
+
     def quiet(self) -> bool:
         return self.clients.quiet() and all(c.idle() for f in self.fronts for c in f.all)
 
--- a/tests/player.py
+++ b/tests/player.py
@@ -6,7 +6,8 @@
 bulletin. `{name}` takes part of one word and puts it in again later; `{32 …}` and `{48001 bytes}` stand for
 what is too long to write. Other lines: `wait S`, `term`, `exit N`, `PARTY end` (the program closes it),
 `PARTY close`, `ID refuse`, `ID break`, `PARTY deaf`, `log has TEXT`, `log lacks TEXT`,
-`b lists ID=STATE`, `b purges ITEM`.
+`b lists ID=STATE`, `b purges ITEM`, `b moves` (to another address, told by SIGHUP), `config TEXT` (the file
+holds TEXT, told by SIGHUP).
 At the end nothing may be left unread at any party.
 """
 
@@ -16,6 +17,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import ssl
 import subprocess
@@ -131,6 +133,7 @@
         self.ports = {name: free_port() for name in "cha"}
         self.tasks: set[asyncio.Task[None]] = set()
         self.rosters = 0
+        self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.log = folder / "log"
 
     async def start(self, servers: list[str]) -> None:
@@ -153,13 +156,14 @@
             "name": "n0",
             "listen": f"127.0.0.1:{self.ports['c']}",
             "seed": "0f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": self.limits,
             "bulletin": f"127.0.0.1:{self.port('b')}",
             "flow_bytes_per_s": 310000,
             "link_bytes_per_s": 1240000,
             "known": {"no": 1, "items": [self.roster(1, [(s, "Ready") for s in servers])]},
             "settings": SETTINGS,
         }
+        self.config = config
         (self.folder / "config.json").write_text(json.dumps(config))
         env = {**os.environ, "GW_CONFIG": str(self.folder / "config.json"), "GW_NAME": "n0"}
         env["GW_LISTEN"] = config["listen"]  # type: ignore[assignment]
@@ -171,6 +175,10 @@
         command = [sys.executable, "-m", "onyxpulley"]
         self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=self.log.open("wb"))
 
+    def reload(self, text: str) -> None:
+        (self.folder / "config.json").write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     async def beat(self) -> None:
         """The number that the bulletin gives each second."""
         while True:
@@ -306,6 +314,15 @@
             self.rosters += 1
             recall = {"no": 1 + self.rosters, "recall": {"item": rest, "issued": int(time.time() * 1000)}}
             await self.send("b", json.dumps(recall).replace("\\", "\\\\") + "\\n")
+        elif name == "config":
+            self.reload(f"{verb} {rest}")
+        elif name == "b" and verb == "moves":
+            old, party = self.parties["b"], Party()
+            party.server = await asyncio.start_server(party.read, "127.0.0.1", 0)
+            self.parties["b"] = party
+            assert old.server is not None
+            old.server.close()
+            self.reload(json.dumps({**self.config, "bulletin": f"127.0.0.1:{self.port('b')}"}))
         elif verb == ">":
             await self.send(name, rest)
         elif verb == "<":
