Count an ended connection as one failure and ask its server again once

In the logs 'cache ... down after 3 failures' stood in the same hundredth of a second as each 'bad answer'. Ruled out: timeouts (87 of 8,500), the doubled answers (110, dropped), the bulletin's breaks. At fault: control.blame gave a strike and 'lost' to each attempt of the connection, so three sufficed; bring_up then took the cache for restarted and cold for 16 s; again() barred the home that holds the copy. Change: ends within 20 ms are one failure and no loss; an answer clears 'lost'; a safe request is asked there once more. Beside it: the direct way to the origin asks may_follow too, it only leaned on the list of the barred.

--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -19,6 +19,7 @@
 FAIL_STEP = 0.1  # weight of one outcome in the failing share: half learns too late, double jumps at chance
 FAIL_SHARE = 0.9  # failing share that marks down; lower loses a cache for what one quick retry mends
 QUICK = 60 * MS  # an error sooner than this costs one retry and is no strike; later it is one
+ONE_END = 20 * MS  # ends this close together are one connection's: half splits it, double hides another
 HOLD = 2_000 * MS  # first wait before a down cache is tried again; doubles up to HOLD_MAX
 PARENT_HOLD = 10_000 * MS  # the same for a parent (design page)
 HOLD_MAX = 10_000 * MS  # longest such wait: half doubles the trials, double leaves a mended server idle
@@ -80,6 +81,7 @@
         """A new process: nothing of the old one's health holds. warm_from 0: warm."""
         self.warm_from, self.fails, self.failing, self.down_until, self.hold = warm_from, 0, 0.0, 0, 0
         self.trial, self.lost = False, False
+        self.broke = -(2**62)  # when a connection to it last ended with something out
         self.answered, self.slow, self.miss = 0, 1.0, 1.0 if warm_from else 0.3
         self.part, self.part_at, self.slow_at, self.full = 1.0, 0, 0, 0.0
 
@@ -104,6 +106,7 @@
         self.ran_on: Server | None = None
         self.ran_at = 0
         self.bad: set[str] = set()  # servers and sources that failed this request
+        self.broke = False  # its server was asked again after a connection ended
         self.stale, self.held = False, False  # may be stale; only what the cache holds
 
 
@@ -331,6 +334,7 @@
         server.failing *= 1.0 - FAIL_STEP
         if server.down_until:
             self.bring_up(server)
+        server.lost = False  # it lives, so what goes wrong later is no restart
 
     def bring_up(self, server: Server) -> None:
         """A server that was lost may have restarted before the list says so: it counts as cold from now."""
@@ -414,7 +418,7 @@
     def choose_server(self, job: Job) -> Server | None:
         req, work = job.req, self.mean_of(job.req)
         if job.cls.uncached and self.set.direct and self.origin and self.origin.id not in job.bad:
-            return self.origin
+            return self.origin if self.may_follow(job, self.origin) else None
         ranked = self.ranked("cache", req.object)
         spread = self.spread(req.object, len(ranked)) if req.object else 1
         if spread > 1:  # the hot object's first few, the least busy of them first
@@ -626,8 +630,12 @@
         server, source, out = attempt.server, attempt.source, event.outcome
         if note != Note.NONE or out is Outcome.FULL:
             server.answered = self.now
-        if out in (Outcome.UNREACHABLE, Outcome.BROKEN):
+        if out is Outcome.UNREACHABLE:
             self.fault(server, lost=True)
+        elif out is Outcome.BROKEN:  # one failure, however much was out on that connection
+            if self.now - server.broke > ONE_END:
+                self.fault(server)
+            server.broke = self.now
         elif source is not None and note in (Note.SOURCE_LOST, Note.SOURCE_REFUSED):
             if note == Note.SOURCE_LOST and source.answered < attempt.sent:
                 self.fault(source, lost=True)
@@ -678,7 +686,11 @@
             return
         source, server = attempt.source, attempt.server
         lacks = out is Outcome.MISS or note in NO_FILL
-        if out is not Outcome.MISS or source is not None:
+        # a connection that ended says little of its server, which may hold the copy: it is asked once more
+        safe = job.cls.effect is Effect.SAFE
+        once_more = safe and out is Outcome.BROKEN and self.usable(server) and not job.broke
+        job.broke = job.broke or once_more
+        if not once_more and (out is not Outcome.MISS or source is not None):
             job.bad.add(source.id if lacks and source is not None else server.id)
         if out is Outcome.NEVER_SENT or job.held or self.retries < 1.0:
             self.give_up(job)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -34,6 +34,33 @@
     assert world.router.servers["c1"].warm_from, "it may have restarted: it counts as cold"
 
 
+def test_a_connection_that_ends_is_one_failure_and_its_requests_are_asked_there_again() -> None:
+    world = World()
+    mine = owned_by(world, "c1", 20)
+    out = [(o, *world.ask(o)) for o in mine]
+    again = [sends(world.end(name, fetch(a), Outcome.BROKEN, after=0))[0] for _, name, a in out]
+    assert {a.server for a in again} == {"c1"} and not world.router.servers["c1"].down_until
+    moved = sends(world.end(out[0][1], again[0], Outcome.BROKEN, attempt=1, after=30_000))[0]
+    assert moved.server != "c1", "once, not for ever"
+    for i in (1, 2):
+        world.end(out[i][1], again[i], Outcome.BROKEN, attempt=1, after=30_000)
+    assert world.router.servers["c1"].down_until, "three ends in a row are three failures"
+
+
+def test_a_cache_that_answers_is_not_lost_and_comes_back_warm() -> None:
+    world = World()
+    mine = owned_by(world, "c1", 20)
+    fail(world, "c1", Outcome.UNREACHABLE, 1000, times=1)
+    world.serve(mine[5])
+    for obj in mine[6:9]:
+        name, actions = world.ask(obj)
+        world.end(name, fetch(actions), Outcome.BROKEN, after=80_000)
+    assert world.router.servers["c1"].down_until
+    world.now += 3 * SEC
+    world.serve(mine[9])
+    assert not world.router.servers["c1"].down_until and not world.router.servers["c1"].warm_from
+
+
 def test_answers_to_sends_from_before_the_loss_do_not_lift_the_mark() -> None:
     world = World()
     mine = owned_by(world, "c1", 20)
