Ask again for lost answers, end connections that stop short, give jobs their own

Checked: answers come whole within 20 ms (trace), so one that halts has ended; windows show the time-outs at caches that answered others in 160 ms. Ruled out: crowding (slowness near 1), silence of the whole machine. At fault: control.look took every late attempt of a live cache for slow; Lane.fit gave new work to a lane once the stuck attempt had been given up; up to 21 requests shared a lane; an unknown word or bad field counted as an answer. Clients: a tag used twice got two answers; the id of an open request reached servers again; silence and half messages had no limit; eviction took idle usual clients first; a line of log for each bad message. Ruled in later: /health of the signed front told 'fit' up to 0.5 s into a drain; it now asks.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -25,6 +25,8 @@
 )
 WORDS = 8  # in an array
 HEAD = 4_096  # bytes of any word that is not the body
+WHOLE = 2_000_000  # us in which a message is whole, from its first byte; the first one from connecting
+LINES = 20  # of the log for bad clients, in a second
 STALL = 10.0  # seconds that a client may leave an answer unread
 WORD = {
     Verdict.SERVED: b"good",
@@ -141,23 +143,28 @@
         self.out: deque[bytes] = deque()
         self.held = 0  # bytes of `out` and of what is being written
         self.skip = 0
-        self.closed, self.last = False, False
-        self.used = now_us()
+        self.closed = False
+        self.used = self.began = now_us()  # `began`: since when a message is awaited, 0: none is
+        self.spoke = False  # a whole message came
         self.wake = asyncio.Event()
         self.tasks = {asyncio.create_task(self._read()), asyncio.create_task(self._write())}
 
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
         try:
-            while not self.last:
+            while not self.closed:
                 got = await loop.sock_recv_into(self.sock, self.buffer.room())
                 if not got:
                     break
                 self.buffer.end += got
                 self.used = now_us()
                 self._parse()
+                if self.skip or self.buffer.start < self.buffer.end:
+                    self.began = self.began or self.used
+                elif self.spoke:
+                    self.began = 0
         except (Malformed, BufferError) as problem:
-            print(f"client: {problem}"[:200], file=sys.stderr, flush=True)
+            self.front.say(str(problem))
         except OSError:
             pass
         finally:
@@ -179,6 +186,7 @@
             if found is None:
                 return
             words, buffer.start = found
+            self.spoke, self.began = True, 0
             self._message(words)
 
     def _fail(self, words: list[bytes], why: str) -> None:
@@ -186,7 +194,7 @@
         tag = words[1] if len(words) > 1 else b""
         if not (tag.isdigit() and len(tag) <= 19 and int(tag) > 0):
             raise Malformed(why)
-        print(f"client: {why}"[:200], file=sys.stderr, flush=True)
+        self.front.say(why)
         self.push(reply_bytes(tag, b"broken"))
 
     def _message(self, words: list[bytes]) -> None:
@@ -195,8 +203,8 @@
         if not (tag.isdigit() and len(tag) <= 19 and int(tag) > 0):
             raise Malformed("no tag")
         if verb == b"ASK":
-            if tag in self.open:
-                return self._fail(words, "tag is open already")
+            if tag in self.open:  # an answer would tell neither of the two
+                raise Malformed("tag is open already")
             if len(self.open) >= OPEN:
                 return self._fail(words, "too many open requests")
             try:
@@ -263,6 +271,10 @@
         finally:
             self.close()
 
+    def overdue(self, now: int) -> bool:
+        """Guards against those who connect and say nothing, or half of it, whatever else they have open."""
+        return bool(self.began) and now - self.began > WHOLE
+
     def idle(self) -> bool:
         return not self.open and not self.held
 
@@ -297,10 +309,11 @@
         self.beside: Callable[[], int] = lambda: 0  # connections of the other fronts
         self.held = 0
         self.fit = False
+        self.said, self.said_at = 0, 0
 
     @property
     def most(self) -> int:
-        return self.limits.sockets // 3
+        return self.limits.clients
 
     def admit(self) -> bool:
         """Room for one more, in place of the longest idle one where there is none."""
@@ -308,9 +321,29 @@
             idle = [c for c in self.all if c.idle()]
             if not idle:
                 return False
-            min(idle, key=lambda c: c.used).close()
+            min(idle, key=lambda c: (c.spoke, c.used)).close()
         return True
 
+    def _count(self) -> None:
+        if now_us() - self.said_at > 1_000_000:
+            if self.said > LINES:
+                print(f"client: {self.said - LINES} more like these", file=sys.stderr, flush=True)
+            self.said, self.said_at = 0, now_us()
+
+    def sweep(self) -> None:
+        now = now_us()
+        self._count()
+        for client in [c for c in self.all if c.overdue(now)]:
+            self.say("no whole message in time")
+            client.close()
+
+    def say(self, why: str) -> None:
+        """One line for the log; of very many in a second the rest is counted. Guards the log and the core."""
+        self._count()
+        self.said += 1
+        if self.said <= LINES:
+            print(f"client: {why}"[:200], file=sys.stderr, flush=True)
+
     def welcome(self, sock: socket.socket) -> None:
         self.all.add(Client(self, sock))
 
--- a/onyxpulley/config.py
+++ b/onyxpulley/config.py
@@ -9,6 +9,8 @@
 
 from onyxpulley.settings import read_settings
 
+SPARE = 24  # descriptors for the listeners, the bulletin, the loop, the log and a file that is read
+
 
 class BadConfig(Exception):
     """One clear line for the operator."""
@@ -23,6 +25,8 @@
     most_open: int
     copies: int  # bytes of copies of its own
     memory: int  # bytes that queued answers may hold together
+    clients: int  # connections of clients, all fronts together
+    lanes: int  # connections to servers, all together
     drain: float  # seconds from SIGTERM to the last answer
     signature_boxes: frozenset[str] = frozenset()
 
@@ -79,6 +83,7 @@
     limits = table.get("limits", {})
     classes = settings["classes"]
     longest = max(int(c["deadline"]) for c in classes) / 1e6
+    sockets = int(limits.get("sockets", 1024))
     known = table.get("known") or {"no": 0, "items": []}
     return Config(
         name=env.get("GW_NAME") or str(table.get("name", "")),
@@ -92,10 +97,12 @@
             connect_timeout=int(bounds.get("connectTimeout", 400_000)) / 1e6,
             idle=int(bounds.get("connIdle", 15_000_000)) / 1e6,
             streams=max(1, int(bounds.get("streamsPerConn", 100))),
-            sockets=int(limits.get("sockets", 1024)),
+            sockets=sockets,
             most_open=min(2_000, int(bounds.get("openCap", 2_000))),
             copies=int(float(limits.get("memory_mb", 192)) * 1e6 * 0.25),
             memory=int(float(limits.get("memory_mb", 192)) * 1e6 * 0.15),
+            clients=max(1, sockets // 2),
+            lanes=max(8, sockets - sockets // 2 - SPARE),
             drain=min(3.0, longest) + 0.4,
         ),
         flow=float(table.get("flow_bytes_per_s", 0)),
--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -106,7 +106,7 @@
         self.ran_on: Server | None = None
         self.ran_at = 0
         self.bad: set[str] = set()  # servers and sources that failed this request
-        self.broke = False  # its server was asked again after a connection ended
+        self.stayed = False  # its server was asked once more, after a connection ended or an answer was lost
         self.stale, self.held = False, False  # may be stale; only what the cache holds
 
 
@@ -587,24 +587,30 @@
 
     def look(self, attempt: Attempt) -> None:
         """An attempt that is late, a fill's usual wait included. A server that answered nobody since it was
-        sent is silent: that counts as a failure, whatever stopped the answers. Else it is merely slow, and
-        a second copy would only add to what slows it."""
+        sent is silent: that counts as a failure, whatever stopped the answers. Where it, the source and the
+        link are as quick as ever, this one answer is lost or its connection stuck: it is asked there again.
+        Else they are merely slow, and a second copy would only add to what slows them."""
         attempt.looks += 1
+        parties = (attempt.server, attempt.source, self.inlet)
         if attempt.server.answered < attempt.sent:
             if attempt.looks == 1:
                 self.fault(attempt.server, lost=True)
             else:
                 self.move(attempt)
+        elif all(self.slowness(p) <= COOL for p in parties if p is not None):
+            self.move(attempt, stay=True)
 
-    def move(self, attempt: Attempt) -> None:
-        """Ask elsewhere: beside the late attempt where two may be out, else in its place."""
+    def move(self, attempt: Attempt, stay: bool = False) -> None:
+        """Ask elsewhere (`stay`: first once more there, where the copy is): beside the late attempt where two
+        may be out, else in its place."""
         job = attempt.job
         if attempt.moved or job.cls.effect is not Effect.SAFE or job.req.id not in self.jobs:
             return
         if self.retries < 1.0 or job.due - self.now < attempt.work or job.made >= self.set.max_attempts:
             return
-        job.bad.add(attempt.server.id)
-        attempt.moved = True
+        if not stay or job.stayed:
+            job.bad.add(attempt.server.id)
+        job.stayed, attempt.moved = job.stayed or stay, True
         if self.set.second_copies:
             self.retries -= 1.0
             self.attempt(job)
@@ -688,8 +694,8 @@
         lacks = out is Outcome.MISS or note in NO_FILL
         # a connection that ended says little of its server, which may hold the copy: it is asked once more
         safe = job.cls.effect is Effect.SAFE
-        once_more = safe and out is Outcome.BROKEN and self.usable(server) and not job.broke
-        job.broke = job.broke or once_more
+        once_more = safe and out is Outcome.BROKEN and self.usable(server) and not job.stayed
+        job.stayed = job.stayed or once_more
         if not once_more and (out is not Outcome.MISS or source is not None):
             job.bad.add(source.id if lacks and source is not None else server.id)
         if out is Outcome.NEVER_SENT or job.held or self.retries < 1.0:
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -106,6 +106,8 @@
     join: bool = False
     only_held: bool = False
     renew: bool = False
+    once: bool = False  # its class may not run twice
+    waits: int = 0  # connections that ended before it was written
     begun: int = 0
     written: bool = False
     ended: bool = False
@@ -158,6 +160,7 @@
         self.decider, self.carrier, self.most_open = decider, carrier, most_open
         self.copies = copies
         self.open: dict[str, Request] = {}
+        self.txns: set[str] = set()  # of the open ones
         self.answers: dict[Verdict, int] = dict.fromkeys(Verdict, 0)
         self.serial = self.bodies = 0
         self._queue: list[Order] = []
@@ -173,7 +176,11 @@
         if len(self.open) >= self.most_open or self.bodies > BODIES:
             self._answer(request, Answer(Verdict.REFUSED, later=500))
             return
+        if request.txn in self.txns:  # servers know a request by it: two would get each other's answers
+            self._answer(request, Answer(Verdict.FAILED))
+            return
         self.open[request.key] = request
+        self.txns.add(request.txn)
         request.own = self.copies.find((request.cls, request.item, request.part))
         self.run(self.decider.pick(request))
 
@@ -295,7 +302,8 @@
 
     def _end(self, request: Request) -> None:
         request.ended = True
-        self.open.pop(request.key, None)
+        if self.open.pop(request.key, None) is not None:
+            self.txns.discard(request.txn)
         self.bodies -= len(request.body)
 
     def _withdraw(self, request: Request) -> None:
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -78,10 +78,11 @@
         self.settings = settings
         self.kept = frozenset(c.name for c in settings.classes if not c.uncached)
         self.classes = frozenset(c.name for c in settings.classes)
+        self.harmless = frozenset(c.name for c in settings.classes if c.effect is api.Effect.SAFE)
         self.report_fields = settings.report
 
     def safe(self, cls: str) -> bool:
-        return any(c.name == cls and c.effect is api.Effect.SAFE for c in self.settings.classes)
+        return cls in self.harmless
 
     def keeps(self, cls: str) -> bool:
         return cls in self.kept
@@ -217,6 +218,7 @@
         until = min(request.due, self.clock() + action.time_out)
         attempt = Attempt(request, request.made, action.server, None, until)
         request.made += 1
+        attempt.once = not self.safe(request.cls)
         if isinstance(action, api.Fetch):
             attempt.source = action.source if action.source != action.server else None
             attempt.rank, attempt.newer, attempt.join = action.rank, action.max_age, action.join
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -21,7 +21,8 @@
 HEADERS = 16_384
 PIPELINED = 4  # requests waiting on one connection
 STALL = 10.0
-IDLE = 30.0  # seconds a connection may stay without a request
+IDLE = 30.0  # seconds a connection may stay without a request, once it has made one
+WHOLE = 5.0  # seconds in which a request is whole, from its first byte; the first one from connecting
 
 
 class Stream(Protocol):
@@ -88,12 +89,14 @@
         self.wake = asyncio.Event()
         self.closed = False
         self.busy = False
-        self.used = now_us()
+        self.used = self.began = now_us()  # `began`: since when a request is awaited, 0: none is
+        self.spoke = False
         self.tasks: list[asyncio.Task[Any]] = []
 
     # ---- What httptools calls
     def on_message_begin(self) -> None:
         self.call, self.size, self.parts = Call(), 0, []
+        self.began = self.began or now_us()
 
     def on_url(self, data: bytes) -> None:
         self.call.target += data.decode("ascii")
@@ -134,14 +137,18 @@
         call.arrived = now_us()
         call.keep = self.parser.should_keep_alive() and call.problem is None
         self.calls.append(call)
+        self.spoke, self.began = True, 0
         self.wake.set()
 
     def idle(self) -> bool:
         return not self.busy and not self.calls
 
     def overdue(self) -> bool:
-        """No whole request for long: bytes that trickle in do not count."""
-        return self.idle() and now_us() - self.used > IDLE * 1e6
+        """No whole request for long: bytes that trickle in do not count, nor does silence."""
+        now = now_us()
+        if self.began and now - self.began > WHOLE * 1e6:
+            return True
+        return self.idle() and now - self.used > IDLE * 1e6
 
     # ---- Two tasks
     async def run(self) -> None:
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import signal
 import sys
@@ -30,7 +31,7 @@
     from onyxpulley.operator import Operator
 
 LINGER = 0.8  # seconds after SIGTERM in which requests may still come
-SWEEP = 0.5
+SWEEP = 0.1
 SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 HTTP = 96  # connections of one front: bounds what slow readers hold
 
@@ -150,7 +151,7 @@
                     operator.public, operator.tenants, self.exchange, self.facade, bool(operator.boxes)
                 )
                 self.fronts.append(Front(operator.listen, signed.connection, self.clients))
-                self.watch.append(lambda: setattr(signed, "fit", self.clients.fit))
+                signed.fit = lambda: self.clients.fit
             if operator.admin is not None and operator.files is not None:
                 source = Source(operator.files)
                 admin = Admin(operator.tenants, source, operator.allow, self.status)
@@ -172,13 +173,15 @@
         }
 
     async def _sweep(self) -> None:
-        while True:
+        for no in itertools.count():
             await asyncio.sleep(SWEEP)
             self.servers.sweep()
-            for front in self.fronts:
-                front.sweep()
-            for step in self.watch:
-                step()
+            self.clients.sweep()
+            if no % 5 == 0:
+                for front in self.fronts:
+                    front.sweep()
+                for step in self.watch:
+                    step()
 
     async def _drain(self) -> None:
         start = time.monotonic()
@@ -221,7 +224,7 @@
             idle = [c for c in self.all if c.idle()]
             if not idle:
                 return False
-            min(idle, key=lambda c: c.used).close()
+            min(idle, key=lambda c: (c.spoke, c.used)).close()
         return True
 
     def welcome(self, sock: socket.socket) -> None:
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -28,7 +28,12 @@
 NOTES = {word: no for no, word in enumerate(TELLS.split(" "), 1)}
 LONGEST = 240_000  # bytes of an object
 LINE = 2_048
-LANES = 4  # connections to one server
+LANES = 16  # connections to one server, where the descriptors allow
+SHARED = 3  # requests on a connection before another one is opened: all of them end with it
+SHORT = 3  # sweeps in which an answer that has begun does not go on: it never will
+LATER = 64  # requests given up on a connection that it remembers: their answers may still come
+MOST_FOR = 5_000_000  # us for which a server that took no more connections is believed
+TRIES = 2  # connections that an attempt may wait for in vain
 
 
 class Lane:
@@ -42,14 +47,16 @@
         self.buffer = Buffer(16_384, LONGEST + 2 * LINE)
         self.out: dict[str, Attempt] = {}
         self.waiting: deque[Attempt | bytes] = deque()
-        self.up, self.closed = False, False
+        self.up, self.closed, self.stuck = False, False, False
         self.heard = self.used = now_us()
+        self.left: deque[str] = deque(maxlen=LATER)
+        self.partial, self.still = 0, 0  # bytes of an answer that is not whole; sweeps without more of it
         self.wake = asyncio.Event()
         self.tasks = {asyncio.create_task(self._run())}
 
     def fit(self, now: int, silence: int, idle: int) -> bool:
         """May it take new work? Not while what is out there goes unanswered, nor when it may idle out."""
-        if self.closed or (self.out and now - max(self.heard, self.used_first()) > silence):
+        if self.closed or self.stuck or (self.out and now - max(self.heard, self.used_first()) > silence):
             return False
         return bool(self.out or self.waiting) or now - self.used < idle
 
@@ -61,7 +68,31 @@
 
     def holds(self, attempt: Attempt) -> bool:
         txn = attempt.request.txn
-        return txn in self.out or any(isinstance(w, Attempt) and w.request.txn == txn for w in self.waiting)
+        waiting = any(isinstance(w, Attempt) and w.request.txn == txn for w in self.waiting)
+        return txn in self.out or txn in self.left or waiting
+
+    def alone(self) -> bool:
+        """Carries what must not run twice, which no other's spoilt answer shall end."""
+        return any(a.once for a in self.out.values()) or any(
+            isinstance(w, Attempt) and w.once for w in self.waiting
+        )
+
+    def give_up(self, attempt: Attempt) -> None:
+        """Where nothing was heard since it was sent, the connection may be dead: nothing new goes there."""
+        txn = attempt.request.txn
+        del self.out[txn]
+        self.left.append(txn)
+        silent = now_us() - max(self.heard, attempt.begun) > self.pool.limits.connect_timeout * 1e6
+        self.stuck = self.stuck or silent
+        self.push(b"abort %s\r\n" % txn.encode())
+
+    def check(self) -> None:
+        """Guards against an answer that stops short: nothing else will come through behind it."""
+        partial = self.buffer.end - self.buffer.start
+        self.still = self.still + 1 if partial and partial == self.partial else 0
+        self.partial = partial
+        if self.still >= SHORT or (self.stuck and not self.load()):
+            self.close(Outcome.BROKEN)
 
     def push(self, what: Attempt | bytes) -> None:
         self.waiting.append(what)
@@ -85,7 +116,7 @@
                 got = await loop.sock_recv_into(self.sock, self.buffer.room())
                 if not got:
                     return
-                self.heard = now_us()
+                self.heard, self.stuck = now_us(), False
                 self.buffer.end += got
                 self._parse()
         except (OSError, BufferError, ValueError) as problem:
@@ -153,41 +184,34 @@
                 return
             words = buffer.data[buffer.start : at].decode("ascii").split(" ")
             after = at + 2
-            body = b""
-            if len(words) == 4:
-                size = fields.number(words[3], 0, LONGEST)
-                if buffer.end < after + size + 2:
-                    return
-                body = bytes(memoryview(buffer.data)[after : after + size])
-                if buffer.data[after + size : after + size + 2] != b"\r\n":
-                    raise ValueError("no line end after the bytes")
-                after += size + 2
-            elif not 2 <= len(words) <= 3:
-                raise ValueError(f"{len(words)} words")
+            if len(words) != 4 or words[1] not in OUTCOMES:
+                raise ValueError(f"no answer: {len(words)} words, {words[1:2]}")
+            size = fields.number(words[3], 0, LONGEST)
+            if buffer.end < after + size + 2:
+                return
+            body = bytes(memoryview(buffer.data)[after : after + size])
+            if buffer.data[after + size : after + size + 2] != b"\r\n":
+                raise ValueError("no line end after the bytes")
+            after += size + 2
             buffer.start = after
             self._answer(words, body)
 
     def _answer(self, words: list[str], body: bytes) -> None:
-        outcome = OUTCOMES.get(words[1])
-        attempt = self.out.pop(words[0], None)
+        """Raises ValueError on a spoilt line before its attempt is taken off: both end with the lane."""
         self.used = now_us()
-        if attempt is None:
-            return  # given up meanwhile
-        if outcome is None:
-            self.pool.exchange.finish(attempt, Report(Outcome.FAILED))
-            return
-        report = Report(outcome, body=body, same=words[1] == "unchanged")
-        try:
-            row = fields.read(words[2]) if len(words) > 2 else {}
-            report.tag = row.get("version", "")
-            report.note = NOTES.get(row.get("tell", ""), 0)
-            report.waited = int(float(row.get("took", "0")) * 1000)
-            report.stamp = int(row.get("stamp", "0"))
-            if "meter" in row:
-                report.load = self.pool.read_load(row["meter"])
-        except ValueError as problem:
-            print(f"server {self.pool.uid}: bad field: {problem}", file=sys.stderr, flush=True)
-        self.pool.exchange.finish(attempt, report)
+        if words[0] not in self.out:
+            return  # given up meanwhile, a second copy, or an id that is none of ours
+        report = Report(OUTCOMES[words[1]], body=body, same=words[1] == "unchanged")
+        row = fields.read(words[2])
+        report.tag = row.get("version", "")
+        if not (report.tag.isalnum() or not report.tag):
+            raise ValueError("bad tag of a copy")
+        report.note = NOTES.get(row.get("tell", ""), 0)
+        report.waited = int(min(1e9, max(0.0, float(row.get("took", "0")))) * 1000)
+        report.stamp = fields.number(row.get("stamp", "0"), 0, 2**53)
+        if "meter" in row:
+            report.load = self.pool.read_load(row["meter"])
+        self.pool.exchange.finish(self.out.pop(words[0]), report)
 
     def close(self, why: Outcome) -> None:
         """What waited was never written; what is out may have run."""
@@ -213,35 +237,40 @@
 class Pool:
     """All connections to one server, known by its id."""
 
-    def __init__(self, uid: str, endpoint: str, exchange: Exchange, limits: Limits) -> None:
-        self.uid, self.endpoint, self.exchange, self.limits = uid, endpoint, exchange, limits
+    def __init__(self, servers: Servers, uid: str, endpoint: str) -> None:
+        self.servers, self.uid, self.endpoint = servers, uid, endpoint
+        self.exchange, self.limits = servers.exchange, servers.limits
         host, _, port = endpoint.rpartition(":")
         self.address = (host, int(port))
         self.lanes: list[Lane] = []
-        self.most = LANES
-        self.wants_signature = uid in limits.signature_boxes
+        self.most, self.most_at = LANES, 0
+        self.wants_signature = uid in self.limits.signature_boxes
 
     def read_load(self, text: str) -> tuple[float, ...]:
         pairs = dict(p.split(":", 1) for p in text.split(";") if ":" in p)
         return tuple(float(v) for v in pairs.values())
 
     def send(self, attempt: Attempt) -> None:
-        now = now_us()
-        idle = int(self.limits.idle * 0.8e6)
-        silence = int(self.limits.connect_timeout * 1e6)
+        """The least busy connection that may take it, or a new one. What must not run twice goes alone:
+        whatever ends a connection ends all that is out on it."""
+        now, limits = now_us(), self.limits
+        idle, silence = int(limits.idle * 0.8e6), int(limits.connect_timeout * 1e6)
         fit = [
             lane
             for lane in self.lanes
-            if lane.fit(now, silence, idle) and lane.load() < self.limits.streams and not lane.holds(attempt)
+            if lane.fit(now, silence, idle) and lane.load() < limits.streams and not lane.holds(attempt)
         ]
-        best = min(fit, key=Lane.load, default=None)
-        if best is None or (best.load() > 8 and len(self.lanes) < self.most):
-            if len(self.lanes) < 2 * LANES:
+        free = [lane for lane in fit if not lane.alone()]
+        best = min(free, key=Lane.load, default=None)
+        if best is None or best.load() >= (1 if attempt.once else SHARED):
+            if now - self.most_at > MOST_FOR:
+                self.most = LANES  # it took no more connections then; it may now
+            if len(self.lanes) < self.most and self.servers.room():
                 best = Lane(self)
                 self.lanes.append(best)
-            elif best is None:  # bounds descriptors; closing one would end slow answers that are under way
-                best = max(self.lanes, key=lambda lane: (not lane.holds(attempt), lane.heard))
-        if best.holds(attempt):
+        if best is None:
+            best = min(fit, key=Lane.load, default=None)
+        if best is None:  # whatever is out on a silent one would end with it, so it is not closed
             loop = asyncio.get_running_loop()
             loop.call_soon(self.exchange.finish, attempt, Report(Outcome.FULL))
             return
@@ -251,10 +280,12 @@
         """Its connection never came up, or ended before it was written: nothing ran."""
         if attempt.ended:
             return
-        up = [lane for lane in self.lanes if lane.up and lane.fit(now_us(), 10**5, 10**6)]
-        if why is Outcome.UNREACHABLE and up and not up[0].holds(attempt):
-            self.most = max(1, len(self.lanes))  # it accepts no more: use what there is
-            up[0].push(attempt)
+        attempt.waits += 1
+        others = [lane for lane in self.lanes if lane.up and lane.fit(now_us(), 10**5, 10**6)]
+        if why is Outcome.UNREACHABLE and others:
+            self.most, self.most_at = max(1, len(self.lanes)), now_us()  # it accepts no more
+        if attempt.waits < TRIES and (why is Outcome.BROKEN or others):
+            self.servers.send(attempt)
             return
         self.exchange.finish(attempt, Report(Outcome.UNREACHABLE))
 
@@ -269,6 +300,7 @@
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.exchange: Exchange
+        self.ending = False
         self.pools: dict[str, Pool] = {}
         self.retired: list[Pool] = []
 
@@ -279,7 +311,19 @@
             self.retired.append(self.pools.pop(uid))
             pool = None
         if pool is None and state != "Gone":
-            self.pools[uid] = Pool(uid, endpoint, self.exchange, self.limits)
+            self.pools[uid] = Pool(self, uid, endpoint)
+
+    def room(self) -> bool:
+        """One more descriptor for a connection to a server? An idle one makes way where there is none."""
+        pools = (*self.pools.values(), *self.retired)
+        if self.ending:
+            return False
+        if sum(len(pool.lanes) for pool in pools) < self.limits.lanes:
+            return True
+        idle = [lane for pool in pools for lane in pool.lanes if lane.up and not lane.load()]
+        if idle:
+            min(idle, key=lambda lane: lane.used).close(Outcome.BROKEN)
+        return bool(idle)
 
     def send(self, attempt: Attempt) -> None:
         pool = self.pools.get(attempt.server)
@@ -294,8 +338,7 @@
         for pool in (self.pools.get(attempt.server), *self.retired):
             for lane in pool.lanes if pool else ():
                 if lane.out.get(txn) is attempt:
-                    del lane.out[txn]
-                    lane.push(b"abort %s\r\n" % txn.encode())
+                    lane.give_up(attempt)
                     return
                 if attempt in lane.waiting:
                     lane.waiting.remove(attempt)
@@ -306,13 +349,15 @@
         now = now_us()
         for pool in (*self.pools.values(), *self.retired):
             for lane in list(pool.lanes):
-                if not lane.load() and lane.up:
+                lane.check()
+                if not lane.closed and not lane.load() and lane.up:
                     gone = pool in self.retired
                     if gone or now - lane.used > self.limits.idle * 0.9e6:
                         lane.close(Outcome.BROKEN)
         self.retired = [pool for pool in self.retired if pool.lanes]
 
     def close(self) -> None:
+        self.ending = True
         for pool in (*self.pools.values(), *self.retired):
             pool.close()
 
--- a/onyxpulley/signed.py
+++ b/onyxpulley/signed.py
@@ -11,6 +11,7 @@
 import re
 import secrets
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl
@@ -38,15 +39,16 @@
     ) -> None:
         self.public, self.tenants = public.rstrip("/"), tenants
         self.exchange, self.facade, self.forward = exchange, facade, forward
-        self.fit = True
+        self.fit: Callable[[], bool] = lambda: True  # takes new work; asked each time, a drain counts at once
 
     def connection(self, sock: socket.socket) -> Connection:
         return Connection(Plain(sock), self.handle, BODY)
 
     async def handle(self, call: Call) -> Response:
         if call.target == "/health":
-            status = HTTPStatus.OK if self.fit else HTTPStatus.SERVICE_UNAVAILABLE
-            return told(status, {"status": "fit" if self.fit else "unfit"})
+            fit = self.fit()
+            status = HTTPStatus.OK if fit else HTTPStatus.SERVICE_UNAVAILABLE
+            return told(status, {"status": "fit" if fit else "unfit"})
         try:
             bare, package = split_package(call.target)
             path, _, query = bare.partition("?")
--- a/tests/player.py
+++ b/tests/player.py
@@ -4,8 +4,9 @@
 full. Parties: `c1`… clients of the platform's front (TEXT as words becomes a RESP array; a quoted TEXT goes
 as it is), `h1`… callers of the signed front, `a1`… of the administration API, servers by their id, `b` the
 bulletin. `{name}` takes part of one word and puts it in again later; `{32 …}` and `{48001 bytes}` stand for
-what is too long to write. Other lines: `wait S`, `term`, `exit N`, `PARTY end` (the program closes it),
-`PARTY close`, `ID refuse`, `ID break`, `PARTY deaf`, `log has TEXT`, `log lacks TEXT`,
+what is too long to write. The first line names the servers and, after `|`, limits that differ. Other lines:
+`wait S`, `term`, `exit N`, `PARTY end` (the program closes it), `PARTY close`, `many N` (connections that say
+nothing), `ID refuse`, `ID break`, `ID resets` (its next one), `PARTY deaf`, `log has TEXT`, `log lacks TEXT`,
 `b lists ID=STATE`, `b purges ITEM`, `b moves` (to another address, told by SIGHUP), `config TEXT` (the file
 holds TEXT, told by SIGHUP).
 At the end nothing may be left unread at any party.
@@ -93,9 +94,13 @@
         self.got, self.news, self.ended = b"", asyncio.Event(), False
         self.writer: asyncio.StreamWriter | None = None
         self.server: asyncio.Server | None = None
+        self.resets = False
         self.owner: dict[bytes, asyncio.StreamWriter] = {}  # where a request came, there its answer goes
 
     async def read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.resets:
+            self.resets = False
+            return writer.transport.abort()
         self.writer, self.ended = writer, False
         try:
             while data := await reader.read(65536):
@@ -133,6 +138,7 @@
         self.ports = {name: free_port() for name in "cha"}
         self.tasks: set[asyncio.Task[None]] = set()
         self.rosters = 0
+        self.crowd: list[asyncio.StreamWriter] = []
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.log = folder / "log"
 
@@ -314,6 +320,11 @@
             self.rosters += 1
             recall = {"no": 1 + self.rosters, "recall": {"item": rest, "issued": int(time.time() * 1000)}}
             await self.send("b", json.dumps(recall).replace("\\", "\\\\") + "\\n")
+        elif name == "many":
+            for _ in range(int(verb)):
+                self.crowd.append((await asyncio.open_connection("127.0.0.1", self.ports["c"]))[1])
+        elif verb == "resets":
+            self.parties[name].resets = True
         elif name == "config":
             self.reload(f"{verb} {rest}")
         elif name == "b" and verb == "moves":
@@ -345,7 +356,9 @@
             raise ValueError(f"unknown step {line!r}")
 
     async def run(self, lines: list[str]) -> None:
-        servers = lines[0].removeprefix("servers ").split()
+        names, _, limits = lines[0].removeprefix("servers ").partition("|")
+        servers = names.split()
+        self.limits |= {name: float(value) for name, value in (w.split("=") for w in limits.split())}
         try:
             await self.start(servers)
             for no, line in enumerate(lines[1:], 2):
@@ -363,6 +376,8 @@
             if self.process.poll() is None:
                 self.process.kill()
             self.process.wait()
+            for writer in self.crowd:
+                writer.close()
             for task in self.tasks:
                 task.cancel()
             for party in self.parties.values():
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -11,6 +11,9 @@
 
 import pytest
 
+from onyxpulley import config
+from onyxpulley.clients import LINES, Clients
+
 from .player import SETTINGS, Play, read_cases
 
 CASES = read_cases(Path(__file__).parent / "exchanges" / "platform.txt")
@@ -50,3 +53,22 @@
     lines = [line for line in run.stderr.splitlines() if line.startswith("onyxpulley: ")]
     assert run.returncode == 2 and len(lines) == 1 and said in lines[0]
     assert "Traceback" not in run.stderr
+
+
+@pytest.mark.parametrize("sockets", [256, 384, 1024])
+def test_all_connections_together_fit_in_the_descriptors(sockets: int, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**GOOD, "limits": {"memory_mb": 32, "sockets": sockets}}))
+    limits = config.load({"GW_CONFIG": str(path)}).limits
+    assert limits.clients + limits.lanes + config.SPARE <= sockets and limits.clients > sockets // 3
+
+
+def test_very_many_bad_clients_fill_no_log(capsys: pytest.CaptureFixture[str]) -> None:
+    clients = Clients.__new__(Clients)
+    clients.said, clients.said_at = 0, 10**18
+    for _ in range(10 * LINES):
+        clients.say("bad")
+    clients.said_at = -(10**18)
+    clients.say("bad")
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == LINES + 2 and f"{9 * LINES} more" in lines[-2]
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -47,6 +47,34 @@
     assert world.router.servers["c1"].down_until, "three ends in a row are three failures"
 
 
+def test_a_lost_answer_of_a_quick_cache_is_asked_for_there_again_and_then_elsewhere() -> None:
+    world = World()
+    mine = owned_by(world, "c1", 20)
+    for i in range(60):
+        world.serve(f"w{i}")
+    name, actions = world.ask(mine[0])
+    (timer,) = [a for a in actions if isinstance(a, api.SetTimer)]
+    world.now += 200_000
+    world.serve(mine[1])
+    again = world.do(api.TimerDue(timer.token), timer.delay - 200_000)
+    assert sends(again)[0].server == "c1"
+    (timer,) = [a for a in again if isinstance(a, api.SetTimer)]
+    world.serve(mine[2])
+    assert sends(world.do(api.TimerDue(timer.token), timer.delay))[0].server != "c1"
+
+
+def test_a_late_answer_of_a_crowded_cache_is_waited_for() -> None:
+    world = World()
+    mine = owned_by(world, "c1", 20)
+    for obj in mine[1:9]:
+        name, actions = world.ask(obj)
+        world.end(name, fetch(actions), note=Note.HIT, after=400_000)
+    name, actions = world.ask(mine[0])
+    (timer,) = [a for a in actions if isinstance(a, api.SetTimer)]
+    world.serve(mine[10])
+    assert not sends(world.do(api.TimerDue(timer.token), timer.delay))
+
+
 def test_a_cache_that_answers_is_not_lost_and_comes_back_warm() -> None:
     world = World()
     mine = owned_by(world, "c1", 20)
