Read no source's fault into a late error, and ask again where the copy is

Checked with a trace of every attempt's end: a quarter of all its caches' answers were 'failed' without a note, hits and fills alike, at 0 to 230 ms; 2,016 requests then went out without a source, came back 'absent' and were refused, also 7 s after the last error. Ruled out: ended connections (78 in all), silence, time-outs (none). At fault: control.note_of read an error after 60 ms as the source's loss although this deployment's notes tell all; the parents' parts shrank and choose_source named none. Three late errors in a row marked a cache down as well. Change: no inference where notes tell all; errors count by share only; a safe request is asked there once more.

--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -18,6 +18,7 @@
 STRIKES = 3  # straight failures that mark a server down; 2 trips on chance, 6 costs twice the requests
 FAIL_STEP = 0.1  # weight of one outcome in the failing share: half learns too late, double jumps at chance
 FAIL_SHARE = 0.9  # failing share that marks down; lower loses a cache for what one quick retry mends
+STAY = 0.5  # failing share up to which an error is asked again where the copy is: half costs fills
 QUICK = 60 * MS  # an error sooner than this costs one retry and is no strike; later it is one
 ONE_END = 20 * MS  # ends this close together are one connection's: half splits it, double hides another
 HOLD = 2_000 * MS  # first wait before a down cache is tried again; doubles up to HOLD_MAX
@@ -624,8 +625,9 @@
 
     def note_of(self, attempt: Attempt, event: api.Finished) -> int:
         """What failed, where notes do not tell: a cache of the own location says by itself at once that it is
-        full or failed; what comes later was waited for from the source."""
-        if event.note != Note.NONE or attempt.source is None:
+        full or failed; what comes later was waited for from the source. Where notes tell all, nothing is read
+        into a late error: blamed for it, the sources would lose their objects for what caches do."""
+        if event.note != Note.NONE or attempt.source is None or self.set.notes == "all":
             return event.note
         if event.outcome is Outcome.FULL and event.took > 2 * self.set.tick:
             return Note.SOURCE_REFUSED
@@ -653,8 +655,8 @@
             silent = server if server.answered < attempt.sent else source
             if silent is not None and silent.answered < attempt.sent:
                 self.fault(silent, lost=True)
-        elif note != Note.ORIGIN_FAILED:
-            self.fault(server, quick=event.took < QUICK)
+        elif note != Note.ORIGIN_FAILED:  # it answers, so only a share of failures speaks against it
+            self.fault(server, quick=True)
 
     def on_finished(self, event: api.Finished) -> None:
         if event.server in self.servers:
@@ -692,9 +694,10 @@
             return
         source, server = attempt.source, attempt.server
         lacks = out is Outcome.MISS or note in NO_FILL
-        # a connection that ended says little of its server, which may hold the copy: it is asked once more
+        # a connection that ended, or one error, says little of a server that may hold the copy
         safe = job.cls.effect is Effect.SAFE
-        once_more = safe and out is Outcome.BROKEN and self.usable(server) and not job.stayed
+        chance = out is Outcome.ERROR and note == Note.NONE and server.failing < STAY
+        once_more = safe and (out is Outcome.BROKEN or chance) and self.usable(server) and not job.stayed
         job.stayed = job.stayed or once_more
         if not once_more and (out is not Outcome.MISS or source is not None):
             job.bad.add(source.id if lacks and source is not None else server.id)
