Foretell a cache's time from its reports and what is out, instead of remembering it

Ruled out: restarts themselves, connections, clients' limits. At fault: control.in_time went by slowness only; the load reports were read and never used. Tests: two units; the rush fails without the change, the other guards the slow source.

--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -35,9 +35,10 @@
 PART_PACE = 1_000 * MS  # least time between two changes of a part: half swings, double reacts late
 FULL = 0.07  # refused share of a source's fills that makes them fewer: half is no different, double jams
 PART_LEAST, PART_UP = 0.1, 0.06  # least part of its objects left to a crowded server; growth a step
-SURE = 1.5  # times that a crowded cache must be quick enough: 1.0 costs 0.03, 2.5 as much the other way
+SURE = 1.2  # times that a crowded cache must be quick enough: 1.0 is late in a rush, 1.5 refuses at slow sources
 LATE = 4.0  # what a refusal counts as, in times of the usual answer
 SLOW_SPAN = 3_000 * MS  # memory of a cache's slowness: half lets too much in again, double refuses too long
+REPORT_SPAN = 2_000 * MS  # memory of a load report: half forgets between two, double refuses at idle caches
 HEAT_SPAN = 3_000 * MS  # memory of an object's own load: half is chance, double meets a rush too late
 HEAT_PART = 0.5  # part of one cache's fair load that an object may be before it goes to more than one
 NO_FILL = (Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.SOURCE_LACKS, Note.ORIGIN_FAILED)
@@ -82,6 +83,8 @@
         """A new process: nothing of the old one's health holds. warm_from 0: warm."""
         self.warm_from, self.fails, self.failing, self.down_until, self.hold = warm_from, 0, 0.0, 0, 0
         self.trial, self.lost = False, False
+        self.others, self.reported = 0.0, 0  # what others have there by its last report, and when that came
+        self.waits, self.takes = 0.0, 1.0  # means of an answer's wait for its source and of its whole time
         self.broke = -(2**62)  # when a connection to it last ended with something out
         self.answered, self.slow, self.miss = 0, 1.0, 1.0 if warm_from else 0.3
         self.part, self.part_at, self.slow_at, self.full = 1.0, 0, 0, 0.0
@@ -292,6 +295,16 @@
         """Times of the usual answer, forgotten when nothing is asked, so that a refused server is tried."""
         return 1.0 + (server.slow - 1.0) * self.remembered(server)
 
+    def crowding(self, server: Server) -> float:
+        """Times of the usual answer that a cache needs for what is sent now: what it holds by its last report
+        and what this router has there, less the part that waits for sources, over its link. Slowness speaks
+        of what was sent before: it lets a rush in, and refuses at idle caches when that is over."""
+        if not server.reported or not self.set.nominal_weights or server.role != "cache":
+            return self.slowness(server)
+        others = server.others * math.exp((server.reported - self.now) / REPORT_SPAN)
+        moving = max(0.0, 1.0 - server.waits / server.takes)
+        return max(1.0, (len(server.out) + others) * moving / server.weight)
+
     # ---- Health of caches, parents and origin
     def usable(self, server: Server) -> bool:
         """Ready and believed up; a down one whose wait is over takes one request as its trial."""
@@ -408,7 +421,7 @@
         """Admission: a crowded cache is passed over by what it would answer too late, large ones first, by
         the aim; with every cache crowded it is refused, so that the rest is in time. Hurts while the slowness
         is remembered but over. A late answer of a cache that isn't crowded is still worth something."""
-        work, slowness = self.work_of(job.req), self.slowness(server)
+        work, slowness = self.work_of(job.req), self.crowding(server)
         left = min(job.cls.aim + job.cls.aim_stretch * work - (self.now - job.arrived), job.due - self.now)
         if fill:
             inlet, whole = self.slowness(self.inlet), (work + self.lag) * slowness + self.fill_lag
@@ -429,7 +442,7 @@
         for server in fit:
             if self.takes(server, job, work) and self.in_time(job, server):
                 return server
-        for server in sorted(fit, key=self.slowness):  # each is out of its part: the least crowded
+        for server in sorted(fit, key=self.crowding):  # each is out of its part: the least crowded
             if self.within_budget(server, work) and self.in_time(job, server):
                 return server
         if self.set.direct and (not fit or self.slowness(self.inlet) <= HOT):
@@ -665,6 +678,11 @@
         attempt = job.open.pop(event.attempt, None) if job is not None else None
         if job is None or attempt is None:
             return
+        if event.load and "busy_reqs" in self.set.report:
+            held, there = event.load[self.set.report.index("busy_reqs")], attempt.server
+            there.others, there.reported = max(0.0, held - len(there.out)), self.now
+        attempt.server.waits += EWMA * (event.waited - attempt.server.waits)
+        attempt.server.takes += EWMA * (event.took - attempt.server.takes)
         out, note = event.outcome, self.note_of(attempt, event)
         self.note_fill(attempt, event)
         if out is Outcome.SERVED:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -147,6 +147,34 @@
     assert all(fetch(world.ask(o)[1]).server == "c2" for o in others)
 
 
+def reporting(held: float, waited: int = 0) -> World:
+    """A world whose caches, of four transfers each, last reported so many requests in hand."""
+    world = World(with_settings(nominal_weights=True, report=("busy_reqs",), direct=False))
+    world.change(*(api.Entry(f"c{i}", "edge-1", "box", weight=4.0) for i in range(4)))
+    last = [owned_by(world, f"c{i}", 1)[0] for i in range(4)]
+    for no, obj in enumerate([f"w{i}" for i in range(60)] + last):
+        name, actions = world.ask(obj)
+        sent, took, load = fetch(actions), 120_000 + waited, held if no >= 60 else 2.0
+        done = api.Finished(name, 0, sent.server, Outcome.SERVED, took, True, Note.HIT, waited, (load,))
+        world.do(done, took)
+    return world
+
+
+def test_a_rush_is_refused_by_the_reports_before_answers_are_late_and_let_in_once_they_tell_of_room() -> None:
+    assert all(sends(reporting(4.0).ask(f"n{i}")[1]) for i in range(20))
+    world = reporting(40.0)
+    assert all(world.router.slowness(s) < 1.5 for s in world.router.servers.values())
+    assert not any(sends(world.ask(f"n{i}")[1]) for i in range(20))
+    for server in world.router.servers.values():
+        server.slow, server.slow_at, server.others = 8.0, world.now, 0.0
+    assert all(sends(world.ask(f"m{i}")[1]) for i in range(4))
+
+
+def test_requests_that_wait_for_a_slow_source_do_not_count_as_crowding() -> None:
+    world = reporting(12.0, waited=2_000_000)
+    assert all(sends(world.ask(f"n{i}", left=4 * SEC)[1]) for i in range(4))
+
+
 def test_all_caches_crowded_refuses_what_would_be_late() -> None:
     world = World(with_settings(direct=False))
     for server in world.router.servers.values():
