Judge the link by a fill's time without its wait for a parent's own copy

So only the wait for a parent's own copy is left out. At fault: control.learn, the inlet's sample. Test: a unit; fails without the change.

--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -211,11 +211,11 @@
 
     def warmth(self, server: Server) -> float:
         """Least part of its capacity that a server has by now: the climb is told nowhere, so the slowest."""
-        age, whole = self.now - server.warm_from, self.cold_time(server)
-        if not server.warm_from or server.role == "origin" or age >= whole:
+        if not server.warm_from or server.role == "origin":  # asked very often, and mostly this
             return 1.0
+        age, whole = self.now - server.warm_from, self.cold_time(server)
         least = self.set.parent_cold_from if server.role == "parent" else self.set.cold_from
-        return least + (1.0 - least) * max(0, age) / whole
+        return least + (1.0 - least) * min(1.0, max(0, age) / whole)
 
     def own_capacity(self, server: Server) -> float:
         """This router's share of a server's capacity: from its nominal link, else from what one such server
@@ -757,7 +757,9 @@
             usual = (attempt.work + self.lag) * self.slowness(server) + self.fill_lag
             self.crowded(source, took / usual if attempt.known else 1.0)
             if attempt.known:
-                self.crowded(self.inlet, took / usual)
+                # the wait for a parent's own copy says nothing of the link; the origin's spares both
+                moved = (took - event.waited) / max(1.0, usual - self.fill_lag)
+                self.crowded(self.inlet, moved if event.waited and event.note == Note.FILLED else took / usual)
                 self.fill_lag = max(self.lag, self.fill_lag + EWMA * min(took - usual, self.fill_lag) / 10)
             self.fills.add(self.now, attempt.work)
         if filled or event.note == Note.JOINED:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -175,6 +175,19 @@
     assert all(sends(world.ask(f"n{i}", left=4 * SEC)[1]) for i in range(4))
 
 
+def test_waiting_for_a_parents_copy_does_not_speak_against_the_link() -> None:
+    slow = []
+    for waited in (900_000, 0):
+        world = World()
+        for i in range(40):
+            name, actions = world.ask(f"w{i}")
+            sent, took = fetch(actions), 1_000_000
+            note = Note.FILLED
+            world.do(api.Finished(name, 0, sent.server, Outcome.SERVED, took, True, note, waited), took)
+        slow.append(world.router.slowness(world.router.inlet))
+    assert slow[0] < 1.2 and slow[1] > 1.5, "without a wait that is told it does"
+
+
 def test_all_caches_crowded_refuses_what_would_be_late() -> None:
     world = World(with_settings(direct=False))
     for server in world.router.servers.values():
