--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -758,8 +758,8 @@
             self.crowded(source, took / usual if attempt.known else 1.0)
             if attempt.known:
                 # the wait for a parent's own copy says nothing of the link; the origin's spares both
-                moved = (took - event.waited) / max(1.0, usual - self.fill_lag)
-                self.crowded(self.inlet, moved if event.waited and event.note == Note.FILLED else took / usual)
+                rest = (took - event.waited) / max(1.0, usual - self.fill_lag)
+                self.crowded(self.inlet, rest if event.waited and event.note == Note.FILLED else took / usual)
                 self.fill_lag = max(self.lag, self.fill_lag + EWMA * min(took - usual, self.fill_lag) / 10)
             self.fills.add(self.now, attempt.work)
         if filled or event.note == Note.JOINED:
