Take over from a running process; a second address with status, figures and drain

At fault: Listener.listen (SO_REUSEADDR alone); no console, and Clients.close_idle only in the end after SIGTERM. Checked: a probe with two listening sockets, 20 connections: all go to the later one; one alone still takes all; the filter must be attached after listen(), before it the bind of the second fails (EADDRINUSE). Ruled out: a slow start.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -28,6 +28,8 @@
 WHOLE = 2_000_000  # us in which a message is whole, from its first byte; the first one from connecting
 LINES = 20  # of the log for bad clients, in a second
 STALL = 10.0  # seconds that a client may leave an answer unread
+FIRST = 1_000_000  # us that a connection without a request is left when the router leaves
+LATELY = 2_100_000  # us from a client's last request in which it cannot be left open at the end of a drain
 WORD = {
     Verdict.SERVED: b"good",
     Verdict.REFUSED: b"refused",
@@ -146,6 +148,7 @@
         self.closed = False
         self.used = self.began = now_us()  # `began`: since when a message is awaited, 0: none is
         self.spoke = False  # a whole message came
+        self.asked = 0  # when the last request came
         self.wake = asyncio.Event()
         self.tasks = {asyncio.create_task(self._read()), asyncio.create_task(self._write())}
 
@@ -216,7 +219,7 @@
                 self._reply(tag, answer)
 
             request.reply = reply
-            self.open[tag] = request
+            self.open[tag], self.asked = request, self.used
             self.front.exchange.take(request)
         elif verb == b"NEVERMIND":
             left = self.open.pop(tag, None)
@@ -266,6 +269,8 @@
                     self.held -= size
                     self.front.held -= size
                     self.used = now_us()
+                if self.front.leaving and self.asked and self.idle():
+                    return  # a request that crosses this is sent again; one that is half here ends it later
         except (OSError, TimeoutError):
             pass
         finally:
@@ -276,7 +281,7 @@
         return bool(self.began) and now - self.began > WHOLE
 
     def idle(self) -> bool:
-        return not self.open and not self.held
+        return not self.open and not self.held and self.buffer.start == self.buffer.end
 
     def close(self) -> None:
         """The client is gone, or is sent away: what it had open is given up."""
@@ -308,7 +313,7 @@
         self.all: set[Client] = set()
         self.beside: Callable[[], int] = lambda: 0  # connections of the other fronts
         self.held = 0
-        self.fit = False
+        self.fit = self.leaving = False
         self.said, self.said_at = 0, 0
 
     @property
@@ -354,10 +359,20 @@
             print(f"client: {worst.held} bytes unread, closed", file=sys.stderr, flush=True)
             worst.close()
 
-    def close_idle(self) -> None:
-        for client in [c for c in self.all if c.idle()]:
+    def leave(self) -> None:
+        """Clients are to go elsewhere: from now on each is closed as soon as nothing is open on it. Who
+        never asked may stay for a while: it is the front with its STATUS, or a first request is coming."""
+        self.leaving, now = True, now_us()
+        for client in [c for c in self.all if c.idle() and (c.asked or now - c.used > FIRST)]:
             client.close()
 
+    def settle(self) -> None:
+        """Guards against those that never fall idle: who asked lately gets its final answers, and the end."""
+        now = now_us()
+        for client in [c for c in self.all if now - c.asked < LATELY]:
+            for request in list(client.open.values()):
+                self.exchange.settle(request)
+
     def quiet(self) -> bool:
         """All answers are written."""
         return not self.held and not any(c.open for c in self.all)
--- a/onyxpulley/config.py
+++ b/onyxpulley/config.py
@@ -9,7 +9,7 @@
 
 from onyxpulley.settings import read_settings
 
-SPARE = 24  # descriptors for the listeners, the bulletin, the loop, the log and a file that is read
+SPARE = 40  # descriptors for the listeners, the console's callers, the bulletin, the loop, the log and a file
 
 
 class BadConfig(Exception):
@@ -40,6 +40,7 @@
 class Config:
     name: str
     listen: tuple[str, int]
+    console: tuple[str, int] | None  # the second address
     bulletin: tuple[str, int]
     seed: int
     known_no: int
@@ -84,10 +85,12 @@
     classes = settings["classes"]
     longest = max(int(c["deadline"]) for c in classes) / 1e6
     sockets = int(limits.get("sockets", 1024))
+    console = env.get("GW_CONSOLE") or str(table.get("console") or "")
     known = table.get("known") or {"no": 0, "items": []}
     return Config(
         name=env.get("GW_NAME") or str(table.get("name", "")),
         listen=address(env.get("GW_LISTEN") or str(table["listen"]), "listen"),
+        console=address(console, "console") if console else None,
         bulletin=address(str(table["bulletin"]), "bulletin"),
         seed=int(str(table.get("seed", "0")), 16),
         known_no=int(known["no"]),
--- /dev/null
+++ b/onyxpulley/console.py
@@ -0,0 +1,108 @@
+"""The second address: one line in, one answer, the end. For the staff's tools and the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable, Iterable
+
+from onyxpulley.buffers import Buffer
+from onyxpulley.core import now_us
+from onyxpulley.listeners import Listener
+
+CALLS = 16  # connections at a time
+LINE = 256
+WHOLE = 5_000_000  # us in which the line is there
+STALL = 5.0  # seconds that an answer may stay unread
+
+Figure = tuple[str, int, str]  # its name, value and kind: "c" counts up, "g" goes up and down
+
+
+def statsd(figures: Iterable[Figure]) -> bytes:
+    return "".join(f"app.{name}:{value}|{kind}\n" for name, value, kind in figures).encode()
+
+
+class Caller:
+    """One connection, one call."""
+
+    def __init__(self, console: Console, sock: socket.socket) -> None:
+        self.console, self.sock, self.began = console, sock, now_us()
+        self.buffer = Buffer(LINE, LINE)
+        self.called = False  # the whole line came
+        self.task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while (line := self.buffer.line(LINE - 1)) is None:
+                got = await loop.sock_recv_into(self.sock, self.buffer.room())
+                if not got:
+                    return
+                self.buffer.end += got
+            self.called = True
+            await self._send(loop, self.console.answer(line))
+        except BufferError:
+            with contextlib.suppress(OSError, TimeoutError):
+                await self._send(loop, b"400 line too long\n")
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            self.close()
+
+    async def _send(self, loop: asyncio.AbstractEventLoop, data: bytes) -> None:
+        async with asyncio.timeout(STALL):
+            await loop.sock_sendall(self.sock, data)
+
+    def close(self) -> None:
+        self.console.all.discard(self)
+        if self.task is not asyncio.current_task():
+            self.task.cancel()
+        with contextlib.suppress(OSError):
+            self.sock.close()
+
+
+class Console(Listener):
+    """The calls. `fit`: ready to serve; `pause` and `resume` give what stands in the way, or nothing."""
+
+    def __init__(
+        self,
+        fit: Callable[[], bool],
+        figures: Callable[[], Iterable[Figure]],
+        pause: Callable[[], str],
+        resume: Callable[[], str],
+    ) -> None:
+        super().__init__()
+        self.fit, self.figures = fit, figures
+        self.calls = {"PAUSE": pause, "RESUME": resume}
+        self.all: set[Caller] = set()
+
+    def answer(self, line: bytes) -> bytes:
+        word = line.decode("ascii", "replace").strip()
+        if word == "STATUS":
+            return b"200 ready\n" if self.fit() else b"400 not ready\n"
+        if word == "METRICS":
+            return statsd(self.figures()) + b"EOF\n"
+        if word not in self.calls:
+            return b"400 unknown call\n"
+        problem = self.calls[word]()
+        return f"400 {problem}\n".encode() if problem else b"200 ok\n"
+
+    def admit(self) -> bool:
+        """Guards against callers that hold a connection: the one that has waited longest makes way."""
+        if len(self.all) >= CALLS:
+            min(self.all, key=lambda c: (c.called, c.began)).close()
+        return True
+
+    def welcome(self, sock: socket.socket) -> None:
+        self.all.add(Caller(self, sock))
+
+    def sweep(self) -> None:
+        now = now_us()
+        for caller in [c for c in self.all if not c.called and now - c.began > WHOLE]:
+            caller.close()
+
+    def close(self) -> None:
+        self.stop_listening()
+        for caller in list(self.all):
+            caller.close()
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -144,6 +145,7 @@
     def keeps(self, cls: str) -> bool: ...
     def recheck(self, attempt: Attempt) -> bool: ...
     def due_in(self) -> float | None: ...
+    def stay_away(self) -> int: ...
 
 
 class Carrier(Protocol):
@@ -161,7 +163,8 @@
         self.copies = copies
         self.open: dict[str, Request] = {}
         self.txns: set[str] = set()  # of the open ones
-        self.answers: dict[Verdict, int] = dict.fromkeys(Verdict, 0)
+        self.answers: Counter[tuple[str, Verdict]] = Counter()  # by class
+        self.closing = False  # nothing new is begun: the router is leaving
         self.serial = self.bodies = 0
         self._queue: list[Order] = []
         self._busy = False
@@ -173,8 +176,8 @@
         self.serial += 1
         request.key = f"q{self.serial}"
         self.bodies += len(request.body)  # both bound the memory of all open requests together
-        if len(self.open) >= self.most_open or self.bodies > BODIES:
-            self._answer(request, Answer(Verdict.REFUSED, later=500))
+        if self.closing or len(self.open) >= self.most_open or self.bodies > BODIES:
+            self._answer(request, Answer(Verdict.REFUSED, later=self.decider.stay_away()))
             return
         if request.txn in self.txns:  # servers know a request by it: two would get each other's answers
             self._answer(request, Answer(Verdict.FAILED))
@@ -195,7 +198,10 @@
     def settle_all(self) -> None:
         """The last moment of a drain: everything still open gets the final answer that the rules allow."""
         for request in list(self.open.values()):
-            self.run(self.decider.settle(request))
+            self.settle(request)
+
+    def settle(self, request: Request) -> None:
+        self.run(self.decider.settle(request))
 
     # ---- Called by the carrier
     def clear(self, attempt: Attempt) -> bool:
@@ -297,7 +303,7 @@
         if request.ended:
             return
         self._end(request)
-        self.answers[answer.verdict] += 1
+        self.answers[request.cls, answer.verdict] += 1
         request.reply(answer)
 
     def _end(self, request: Request) -> None:
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -90,6 +90,16 @@
     def deadline_ms(self, cls: str) -> int:
         return next(c.deadline for c in self.settings.classes if c.name == cls) // 1000
 
+    def stay_away(self) -> int:
+        """Milliseconds that a client is told whom the router itself turns away, if the settings allow it."""
+        return min(500, self.settings.max_come_back // 1000) if self.settings.come_back else 0
+
+    def listed(self) -> tuple[int, int]:
+        """How many servers are listed, and how many of them the module avoids now."""
+        known = [s for s in self.router.servers.values() if s.state is not api.State.GONE]
+        ready = [s for s in known if s.state is api.State.READY]
+        return len(known), sum(not self.router.usable(s) for s in ready)
+
     # ---- Requests
     def pick(self, request: Request) -> Sequence[Order]:
         """What to do with a new request: an attempt, or its final answer."""
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -92,6 +92,7 @@
         self.used = self.began = now_us()  # `began`: since when a request is awaited, 0: none is
         self.spoke = False
         self.tasks: list[asyncio.Task[Any]] = []
+        self.leaving: Callable[[], bool] = lambda: False  # each answer is then the connection's last
 
     # ---- What httptools calls
     def on_message_begin(self) -> None:
@@ -192,6 +193,7 @@
                     call = self.calls.popleft()
                     self.busy = True
                     response = Response(call.problem) if call.problem else await self._handle(call)
+                    call.keep = call.keep and not self.leaving()
                     async with asyncio.timeout(STALL):
                         await self.stream.send_all(encode(response, call.keep, call.method == "HEAD"))
                     self.busy, self.used = False, now_us()
--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -3,10 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import ctypes
 import socket
+import struct
 import sys
 
 PAUSE = 0.05  # after a failed accept, mostly for want of descriptors
+ATTACH = 51  # SO_ATTACH_REUSEPORT_CBPF, which the socket module does not name
+RETURN = 0x06  # BPF_RET | BPF_K: the whole program is "socket K of the group"
+
+
+def prefer_latest(sock: socket.socket) -> None:
+    """Of two sockets of one address the later takes all new connections; one alone is out of the filter's
+    range, and the kernel takes that one. Guards an old version's queue against being reset when it closes."""
+    program = ctypes.create_string_buffer(struct.pack("HBBI", RETURN, 0, 0, 1))
+    with contextlib.suppress(OSError):  # where there are no such filters, new connections are spread
+        sock.setsockopt(socket.SOL_SOCKET, ATTACH, struct.pack("HP", 1, ctypes.addressof(program)))
 
 
 class Listener:
@@ -20,10 +33,12 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.setblocking(False)
         try:
             sock.bind(address)
             sock.listen(512)
+            prefer_latest(sock)  # not before: a socket with a group of its own can join no other
         except OSError:
             sock.close()
             raise
@@ -40,15 +55,18 @@
                 print(f"accept: {problem}", file=sys.stderr, flush=True)
                 await asyncio.sleep(PAUSE)
                 continue
-            try:
-                if not self.admit():
-                    sock.close()
-                    continue
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self.welcome(sock)
-            except OSError:  # reset before it was taken: this task must go on for the others
+            self._take(sock)
+
+    def _take(self, sock: socket.socket) -> None:
+        try:
+            if not self.admit():
                 sock.close()
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.welcome(sock)
+        except OSError:  # reset before it was taken: the others go on
+            sock.close()
 
     def admit(self) -> bool:
         raise NotImplementedError
@@ -57,8 +75,12 @@
         raise NotImplementedError
 
     def stop_listening(self) -> None:
+        """What the machine accepted already is taken first: closing the socket would reset it."""
         if self.accepting is not None:  # uvloop keeps the socket open while an accept is under way
             self.accepting.cancel()
         if self.sock is not None:
+            with contextlib.suppress(OSError):  # BlockingIOError: the queue is empty
+                while True:
+                    self._take(self.sock.accept()[0])
             self.sock.close()
             self.sock = None
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -18,8 +18,9 @@
 from onyxpulley import config
 from onyxpulley.bulletin import Bulletin
 from onyxpulley.clients import Clients
+from onyxpulley.console import Console, Figure
 from onyxpulley.copies import Copies
-from onyxpulley.core import Exchange
+from onyxpulley.core import Exchange, Verdict
 from onyxpulley.facade import Facade
 from onyxpulley.listeners import Listener
 from onyxpulley.servers import Servers
@@ -30,7 +31,9 @@
     from onyxpulley.http import Connection
     from onyxpulley.operator import Operator
 
-LINGER = 0.8  # seconds after SIGTERM in which requests may still come
+LINGER = 0.8  # seconds after SIGTERM or PAUSE in which new connections may still come
+REFUSE = 1.8  # seconds after which clients that still ask on their connection are refused
+SETTLE = 3.4  # seconds after PAUSE at which those that go on asking get their last answers
 SWEEP = 0.1
 SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 HTTP = 96  # connections of one front: bounds what slow readers hold
@@ -39,6 +42,7 @@
 class Phase(Enum):
     STARTING = "starting"
     SERVING = "serving"
+    PAUSED = "paused"  # drained by the staff, until they resume
     LINGERING = "lingering"  # SIGTERM came; the front still sends
     DRAINING = "draining"  # nothing new comes; the rest is answered
     STOPPED = "stopped"
@@ -57,6 +61,9 @@
         self.clients = Clients(self.exchange, self.facade.classes, conf.limits)
         self.term = asyncio.Event()
         self.fronts: list[Front] = []
+        self.console = Console(lambda: self.clients.fit, self.figures, self.pause, self.resume)
+        self.since = 0.0  # when it began to leave
+        self.reloads = {"applied": 0, "rejected": 0}
         self.clients.beside = lambda: sum(len(front.tasks) for front in self.fronts)
         self.watch: list[Callable[[], object]] = []
 
@@ -84,12 +91,17 @@
         except (KeyError, TypeError, ValueError, AttributeError) as problem:
             raise config.BadConfig(f"known: bad event: {problem!r}") from problem
         self.bulletin.no = self.conf.known_no
-        try:
-            self.clients.listen(self.conf.listen)
-        except OSError as problem:
-            raise config.BadConfig(f"cannot listen on {self.conf.listen}: {problem}") from problem
+        fronts: list[tuple[Listener, tuple[str, int] | None]]
+        fronts = [(self.console, self.conf.console), (self.clients, self.conf.listen)]
+        for front, address in fronts:
+            try:
+                if address is not None:
+                    front.listen(address)
+            except OSError as problem:
+                raise config.BadConfig(f"cannot listen on {address}: {problem}") from problem
         self._operated()
         tasks = [
+            *([asyncio.create_task(self.console.accept())] if self.conf.console else []),
             *(asyncio.create_task(front.accept()) for front in self.fronts),
             asyncio.create_task(self.bulletin.follow()),
             asyncio.create_task(self.clients.accept()),
@@ -107,6 +119,7 @@
         self.clients.close()
         for front in self.fronts:
             front.close()
+        self.console.close()
         self.servers.close()
         self.enter(Phase.STOPPED)
         return 0
@@ -121,6 +134,7 @@
                 raise config.BadConfig("name and listen take a restart")
             self.facade.configure(new.settings, new.transfers)
         except config.BadConfig as problem:
+            self.reloads["rejected"] += 1
             print(f"{old.name}: reload: kept the old settings: {problem}", file=sys.stderr, flush=True)
             return
         new.limits.signature_boxes = old.limits.signature_boxes  # of the operator's file
@@ -130,9 +144,58 @@
         self.exchange.copies.shrink(new.limits.copies)
         self.clients.classes = self.facade.classes
         self.bulletin.move(new.bulletin)
+        self.reloads["applied"] += 1
         print(f"{new.name}: reloaded, bulletin {':'.join(map(str, new.bulletin))} after {self.bulletin.no}",
               file=sys.stderr, flush=True)  # fmt: skip
 
+    # ---- The staff's calls
+    def pause(self) -> str:
+        """Drains, and goes on when told to. Says so at once; what follows is `_retreat`."""
+        if self.phase is Phase.SERVING:
+            self.since = time.monotonic()
+            self.enter(Phase.PAUSED)
+        return ""
+
+    def resume(self) -> str:
+        if self.phase is Phase.PAUSED:
+            self.clients.leaving = self.exchange.closing = False
+            self.enter(Phase.SERVING)
+        return "" if self.phase is Phase.SERVING else f"it is {self.phase.value}"
+
+    def figures(self) -> list[Figure]:
+        answers, (known, avoided) = self.exchange.answers, self.facade.listed()
+        rows: list[Figure] = []
+        for cls in sorted({*self.facade.classes, *(cls for cls, _ in answers)}):
+            aborted = answers[cls, Verdict.FAILED] + answers[cls, Verdict.EXPIRED]
+            rows += [
+                (f"succeeded.{cls}", answers[cls, Verdict.SERVED], "c"),
+                (f"declined.{cls}", answers[cls, Verdict.REFUSED], "c"),
+                (f"aborted.{cls}", aborted, "c"),
+            ]
+        return [
+            *rows,
+            ("forwards", self.servers.forwards, "c"),
+            ("outstanding", len(self.exchange.open), "g"),
+            ("discovered", known, "g"),
+            ("ejected", avoided, "g"),
+            ("sighup_applied", self.reloads["applied"], "c"),
+            ("sighup_rejected", self.reloads["rejected"], "c"),
+        ]
+
+    def _retreat(self) -> None:
+        """The steps of leaving, alike after PAUSE and SIGTERM: clients go as they fall idle, what still comes
+        is refused, and who never falls idle gets its last answers."""
+        if self.phase in (Phase.STARTING, Phase.SERVING):
+            return
+        past = time.monotonic() - self.since
+        if past >= LINGER:
+            self.clients.leave()
+            for front in self.fronts:
+                front.leave()
+        self.exchange.closing = past >= REFUSE
+        if past >= SETTLE and self.phase is Phase.PAUSED:
+            self.clients.settle()
+
     def quiet(self) -> bool:
         return self.clients.quiet() and all(c.idle() for f in self.fronts for c in f.all)
 
@@ -152,6 +215,7 @@
                 )
                 self.fronts.append(Front(operator.listen, signed.connection, self.clients))
                 signed.fit = lambda: self.clients.fit
+                signed.leaving = lambda: self.clients.leaving
             if operator.admin is not None and operator.files is not None:
                 source = Source(operator.files)
                 admin = Admin(operator.tenants, source, operator.allow, self.status)
@@ -169,7 +233,10 @@
             "servers": len(self.servers.pools),
             "open": len(self.exchange.open),
             "copies": len(self.exchange.copies.all),
-            "answers": {verdict.value: count for verdict, count in self.exchange.answers.items()},
+            "answers": {
+                verdict.value: sum(n for (_, v), n in self.exchange.answers.items() if v is verdict)
+                for verdict in Verdict
+            },
         }
 
     async def _sweep(self) -> None:
@@ -177,6 +244,8 @@
             await asyncio.sleep(SWEEP)
             self.servers.sweep()
             self.clients.sweep()
+            self.console.sweep()
+            self._retreat()
             if no % 5 == 0:
                 for front in self.fronts:
                     front.sweep()
@@ -184,20 +253,19 @@
                     step()
 
     async def _drain(self) -> None:
-        start = time.monotonic()
+        self.since = start = time.monotonic()
         self.enter(Phase.LINGERING)
         await asyncio.sleep(LINGER)
         self.enter(Phase.DRAINING)
         self.clients.stop_listening()
         for front in self.fronts:
             front.stop_listening()
+        await asyncio.sleep(SWEEP / 2)  # what was in the queue is read before anyone looks for quiet
         while not self.quiet():
             if time.monotonic() - start > self.conf.limits.drain:
                 self.exchange.settle_all()
                 break
-            self.clients.close_idle()
-            for front in self.fronts:
-                front.close_idle()
+            self._retreat()
             await asyncio.sleep(0.01)
         end = time.monotonic() + 0.2
         while not self.quiet() and time.monotonic() < end:
@@ -247,8 +315,8 @@
         for connection in [c for c in self.all if c.overdue()]:
             connection.close()
 
-    def close_idle(self) -> None:
-        for connection in [c for c in self.all if c.idle()]:
+    def leave(self) -> None:
+        for connection in [c for c in self.all if c.leaving() and c.idle()]:
             connection.close()
 
     def close(self) -> None:
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -131,13 +131,16 @@
                 await self.wake.wait()
                 self.wake.clear()
                 while self.waiting:
-                    batch, size = [], 0
+                    batch, size, sent = [], 0, 0
                     while self.waiting and size < 65_536:
-                        piece = self._encode(self.waiting.popleft())
+                        what = self.waiting.popleft()
+                        piece = self._encode(what)
                         batch.append(piece)
                         size += len(piece)
+                        sent += bool(piece) and isinstance(what, Attempt)
                     if size:
                         await loop.sock_sendall(self.sock, b"".join(batch))
+                        self.pool.servers.forwards += sent
         except OSError:
             self.close(Outcome.BROKEN)
 
@@ -303,6 +306,7 @@
         self.ending = False
         self.pools: dict[str, Pool] = {}
         self.retired: list[Pool] = []
+        self.forwards = 0  # attempts written whole
 
     def listed(self, uid: str, endpoint: str, state: str) -> None:
         """A change of the list. An address may pass to another server, so connections go by id."""
--- a/onyxpulley/signed.py
+++ b/onyxpulley/signed.py
@@ -40,9 +40,12 @@
         self.public, self.tenants = public.rstrip("/"), tenants
         self.exchange, self.facade, self.forward = exchange, facade, forward
         self.fit: Callable[[], bool] = lambda: True  # takes new work; asked each time, a drain counts at once
+        self.leaving: Callable[[], bool] = lambda: False  # callers are to go elsewhere
 
     def connection(self, sock: socket.socket) -> Connection:
-        return Connection(Plain(sock), self.handle, BODY)
+        connection = Connection(Plain(sock), self.handle, BODY)
+        connection.leaving = self.leaving
+        return connection
 
     async def handle(self, call: Call) -> Response:
         if call.target == "/health":
--- a/tests/player.py
+++ b/tests/player.py
@@ -2,13 +2,14 @@
 
 A line is `PARTY DIRECTION TEXT`. `>` is written by the party to the program, `<` must come from it next, in
 full. Parties: `c1`… clients of the platform's front (TEXT as words becomes a RESP array; a quoted TEXT goes
-as it is), `h1`… callers of the signed front, `a1`… of the administration API, servers by their id, `b` the
-bulletin. `{name}` takes part of one word and puts it in again later; `{32 …}` and `{48001 bytes}` stand for
-what is too long to write. The first line names the servers and, after `|`, limits that differ. Other lines:
-`wait S`, `term`, `exit N`, `PARTY end` (the program closes it), `PARTY close`, `many N` (connections that say
-nothing), `ID refuse`, `ID break`, `ID resets` (its next one), `PARTY deaf`, `log has TEXT`, `log lacks TEXT`,
-`b lists ID=STATE`, `b purges ITEM`, `b moves` (to another address, told by SIGHUP), `config TEXT` (the file
-holds TEXT, told by SIGHUP).
+as it is), `h1`… callers of the signed front, `a1`… of the administration API, `k1`… of the second address,
+`l1`… of the second process's, servers by their id, `b` the bulletin. `{name}` takes part of one word and puts
+it in again later; `{32 …}` and `{48001 bytes}` stand for what is too long to write. The first line names the
+servers and, after `|`, limits that differ. Other lines: `wait S`, `term`, `exit N`, `beside` (starts a second
+process, to which `term` and `exit` do not go), `PARTY end` (the program closes it), `PARTY close`, `many N`
+(connections that say nothing; `hold N`: at the second address), `ID refuse`, `ID break`, `ID resets` (its
+next one), `PARTY deaf`, `log has TEXT`, `log lacks TEXT`, `b lists ID=STATE`, `b purges ITEM`, `b moves` (to
+another address, told by SIGHUP), `config TEXT` (the file holds TEXT, told by SIGHUP).
 At the end nothing may be left unread at any party.
 """
 
@@ -135,12 +136,13 @@
         self.folder, self.fill, self.operator, self.tls = folder, fill or (lambda text: text), operator, tls
         self.parties: dict[str, Party] = {}
         self.values: dict[str, str] = {}
-        self.ports = {name: free_port() for name in "cha"}
+        self.ports = {name: free_port() for name in "chakl"}
         self.tasks: set[asyncio.Task[None]] = set()
         self.rosters = 0
         self.crowd: list[asyncio.StreamWriter] = []
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.log = folder / "log"
+        self.second: subprocess.Popen[bytes] | None = None
 
     async def start(self, servers: list[str]) -> None:
         for name in ["b", *servers]:
@@ -153,7 +155,7 @@
             if self.process.poll() is None:
                 break
             assert "cannot listen" in self.log.read_text(), self.log.read_text()
-            self.ports = {name: free_port() for name in "cha"}
+            self.ports = {name: free_port() for name in "chakl"}
         await self.expect("b", '"after 1\\n"')
         self.tasks.add(asyncio.create_task(self.beat()))
 
@@ -163,6 +165,7 @@
             "listen": f"127.0.0.1:{self.ports['c']}",
             "seed": "0f",
             "limits": self.limits,
+            "console": f"127.0.0.1:{self.ports['k']}",
             "bulletin": f"127.0.0.1:{self.port('b')}",
             "flow_bytes_per_s": 310000,
             "link_bytes_per_s": 1240000,
@@ -178,8 +181,21 @@
             text = self.operator.replace("HTTP", str(self.ports["h"])).replace("ADMIN", str(self.ports["a"]))
             path.write_text(text)
             env["ONYXPULLEY_OPERATOR"] = str(path)
+        self.env = env
+        self.process = self.spawn(env, self.log)
+
+    @staticmethod
+    def spawn(env: dict[str, str], log: Path) -> subprocess.Popen[bytes]:
         command = [sys.executable, "-m", "onyxpulley"]
-        self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=self.log.open("wb"))
+        return subprocess.Popen(command, cwd=ROOT, env=env, stderr=log.open("wb"))
+
+    async def beside(self) -> None:
+        log = self.folder / "second"
+        self.second = self.spawn({**self.env, "GW_CONSOLE": f"127.0.0.1:{self.ports['l']}"}, log)
+        while "serving" not in log.read_text():
+            assert self.second.poll() is None, log.read_text()
+            await asyncio.sleep(0.02)
+        await self.expect("b", '"after 1\\n"')
 
     def reload(self, text: str) -> None:
         (self.folder / "config.json").write_text(text)
@@ -304,6 +320,8 @@
         name, verb, rest = (line.split(" ", 2) + ["", ""])[:3]
         if name == "wait":
             await asyncio.sleep(float(verb))
+        elif name == "beside":
+            await self.beside()
         elif name == "term":
             self.process.terminate()
         elif name == "exit":
@@ -320,9 +338,10 @@
             self.rosters += 1
             recall = {"no": 1 + self.rosters, "recall": {"item": rest, "issued": int(time.time() * 1000)}}
             await self.send("b", json.dumps(recall).replace("\\", "\\\\") + "\\n")
-        elif name == "many":
+        elif name in ("many", "hold"):
+            port = self.ports["c" if name == "many" else "k"]
             for _ in range(int(verb)):
-                self.crowd.append((await asyncio.open_connection("127.0.0.1", self.ports["c"]))[1])
+                self.crowd.append((await asyncio.open_connection("127.0.0.1", port))[1])
         elif verb == "resets":
             self.parties[name].resets = True
         elif name == "config":
@@ -373,9 +392,9 @@
             assert not left, left
             assert "Traceback" not in self.log.read_text(), self.log.read_text()
         finally:
-            if self.process.poll() is None:
-                self.process.kill()
-            self.process.wait()
+            for process in filter(None, (self.process, self.second)):
+                process.kill()
+                process.wait()
             for writer in self.crowd:
                 writer.close()
             for task in self.tasks:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -16,7 +16,8 @@
 
 from .player import SETTINGS, Play, read_cases
 
-CASES = read_cases(Path(__file__).parent / "exchanges" / "platform.txt")
+FOLDER = Path(__file__).parent / "exchanges"
+CASES = read_cases(FOLDER / "platform.txt") + read_cases(FOLDER / "operating.txt")
 
 
 @pytest.mark.parametrize("lines", [pytest.param(lines, id=name) for name, lines in CASES])
