Derive every bound from the memory limit; let go of what has ended at once

Checked by a trace of sizes each 4 s (copies 5.6 MB, tables 0.3, buffers 2) and of allocations by line: 678 client buffers alive for 96 clients, and 1.9 MB of answers with none unread. Closed clients and ended requests waited as cycles for a collection of the oldest generation; each idle connection's writer kept its last batch. Ruled out: fragmentation by large bodies (mallopt with a fixed threshold, 64 and 32 KB: 37 MB as before); the copies. At fault: Client._write, Lane._write (batch in the task's frame), Client.close and Lane.close (tasks), Request.attempts. Also: tables of 40,000 entries, 16 MB of bodies and 2,000 requests whatever the limit; now all from memory_mb.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -262,16 +262,7 @@
                 await self.wake.wait()
                 self.wake.clear()
                 while self.out:
-                    batch, size = [self.out.popleft()], 0
-                    size = len(batch[0])
-                    while self.out and size + len(self.out[0]) <= 65_536:
-                        size += len(self.out[0])
-                        batch.append(self.out.popleft())
-                    async with asyncio.timeout(STALL):
-                        await loop.sock_sendall(self.sock, batch[0] if len(batch) == 1 else b"".join(batch))
-                    self.held -= size
-                    self.front.held -= size
-                    self.used = now_us()
+                    await self._batch(loop)
                 if self.front.leaving and self.asked and self.idle():
                     return  # a request that crosses this is sent again; one that is half here ends it later
         except (OSError, TimeoutError):
@@ -287,6 +278,19 @@
         """Nothing is owed to it, though half a message may be here."""
         return not self.open and not self.held
 
+    async def _batch(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Apart from its task, which would hold on to the bytes while it waits for the next answer."""
+        batch = [self.out.popleft()]
+        size = len(batch[0])
+        while self.out and size + len(self.out[0]) <= 65_536:
+            size += len(self.out[0])
+            batch.append(self.out.popleft())
+        async with asyncio.timeout(STALL):
+            await loop.sock_sendall(self.sock, batch[0] if len(batch) == 1 else b"".join(batch))
+        self.held -= size
+        self.front.held -= size
+        self.used = now_us()
+
     def still(self, now: int) -> int:
         """How long nothing came; of a connection on which nothing ever came it counts for more."""
         return (now - self.used) * (1 if self.spoke or self.buffer.end or self.skip else SILENT)
@@ -307,6 +311,8 @@
         for task in self.tasks:
             if task is not current:
                 task.cancel()
+        self.tasks.clear()  # with them goes what would keep a closed connection until a collection
+        self.buffer = Buffer(0, 0)
         with contextlib.suppress(OSError):
             self.sock.close()
         gone = list(self.open.values())
@@ -354,6 +360,12 @@
         for client in [c for c in self.all if c.overdue(now)]:
             self.say("no whole message in time")
             client.close()
+        parts = sorted((c for c in self.all if c.began), key=lambda c: c.still(now))
+        held = sum(len(c.buffer.data) for c in parts)
+        while held > self.limits.buffers:  # guards the memory against very many large halves of messages
+            held -= len(parts[-1].buffer.data)
+            self.say("too much of messages that are not whole")
+            parts.pop().close()
 
     def say(self, why: str) -> None:
         """One line for the log; of very many in a second the rest is counted. Guards the log and the core."""
--- a/onyxpulley/config.py
+++ b/onyxpulley/config.py
@@ -11,6 +11,9 @@
 
 SPARE = 40  # descriptors for the listeners, the console's callers, the bulletin, the loop, the log and a file
 
+BASE = 26e6  # bytes of the program before its first request
+ENTRY = 900  # bytes of an object in all tables of the decisions together
+
 
 class BadConfig(Exception):
     """One clear line for the operator."""
@@ -24,6 +27,9 @@
     sockets: int
     most_open: int
     copies: int  # bytes of copies of its own
+    bodies: int  # bytes that open requests may have brought together
+    memo: int  # entries of each table of objects that the decisions keep
+    buffers: int  # bytes of messages of clients that are not whole
     memory: int  # bytes that queued answers may hold together
     clients: int  # connections of clients, all fronts together
     lanes: int  # connections to servers, all together
@@ -86,6 +92,8 @@
     longest = max(int(c["deadline"]) for c in classes) / 1e6
     sockets = int(limits.get("sockets", 1024))
     console = env.get("GW_CONSOLE") or str(table.get("console") or "")
+    memory = float(limits.get("memory_mb", 192)) * 1e6
+    free = max(4e6, memory - BASE)
     known = table.get("known") or {"no": 0, "items": []}
     return Config(
         name=env.get("GW_NAME") or str(table.get("name", "")),
@@ -101,9 +109,12 @@
             idle=int(bounds.get("connIdle", 15_000_000)) / 1e6,
             streams=max(1, int(bounds.get("streamsPerConn", 100))),
             sockets=sockets,
-            most_open=min(2_000, int(bounds.get("openCap", 2_000))),
-            copies=int(float(limits.get("memory_mb", 192)) * 1e6 * 0.25),
-            memory=int(float(limits.get("memory_mb", 192)) * 1e6 * 0.15),
+            most_open=min(2_000, int(memory / 40_000), int(bounds.get("openCap", 2_000))),
+            copies=int(min(0.25 * memory, 0.4 * free)),
+            bodies=int(min(16e6, 0.2 * free)),
+            memo=int(min(40_000, 0.15 * free / ENTRY)),
+            buffers=int(0.2 * free),
+            memory=int(memory * 0.15),
             clients=max(1, sockets // 2),
             lanes=max(8, sockets - sockets // 2 - SPARE),
             drain=min(3.0, longest) + 0.4,
--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -12,6 +12,7 @@
 
 from onyxpulley import interface as api
 from onyxpulley.interface import Effect, Note, Outcome, State
+from onyxpulley.memo import Memo
 
 # ---- Tuned values: unit, reason, and what half or double would do.
 MS = 1000
@@ -43,7 +44,6 @@
 HEAT_SPAN = 3_000 * MS  # memory of an object's own load: half is chance, double meets a rush too late
 HEAT_PART = 0.5  # part of one cache's fair load that an object may be before it goes to more than one
 NO_FILL = (Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.SOURCE_LACKS, Note.ORIGIN_FAILED)
-MEMO = 40_000  # entries of each bounded memory: rankings, objects asked for, learned sizes
 RARE = 0.3  # weight of one sample that comes alone, at most: half learns late, double jumps at chance
 OWN_PART = 0.7  # part of the aim in which the router's own link must be done: 1.0 risks the aim in a rush
 OWN_MARGIN = 100 * MS  # an own copy is let go so much before its age is up: it is written a little later
@@ -116,6 +116,8 @@
 class Flow:
     """Work per time, over the last `span` or, early on, since the first sample."""
 
+    __slots__ = ("at", "since", "span", "sum")  # there is one for each object
+
     def __init__(self, span: int) -> None:
         self.span, self.sum, self.at, self.since = span, 0.0, 0, 0
 
@@ -140,14 +142,14 @@
         self.origin: Server | None = None
         self.inlet = Server(api.Entry("", "", ""), "inlet")  # what all fills of this location pass
         self.jobs: dict[str, Job] = {}
-        self.ranks: dict[tuple[str, str], tuple[Server, ...]] = {}
+        self.ranks: Memo[tuple[str, str], tuple[Server, ...]] = Memo(settings.memo)
         self.purged: dict[tuple[str, object], int] = {}
         self.timers: dict[int, Attempt | Server | None] = {}
-        self.learned: dict[tuple[str, int], float] = {}
+        self.learned: Memo[tuple[str, int], float] = Memo(settings.memo)
         self.means: dict[str, float] = {}
         self.lag, self.fill_lag, self.retries = 20.0 * MS, 75.0 * MS, RETRY_MOST / 2
         self.asked, self.served, self.fills = Flow(LOAD_SPAN), Flow(LOAD_SPAN), Flow(LOAD_SPAN)
-        self.heat: dict[str, Flow] = {}
+        self.heat: Memo[str, Flow] = Memo(settings.memo)
         self.own_free = 0.0  # when all that was answered from own copies will have left this router's link
         self.mean_cost = 100.0 * MS  # work per worth of the requests, lately
 
@@ -155,6 +157,8 @@
         """Other figures from now on; open jobs keep their class's, servers their roles."""
         self.set, self.classes = settings, {c.name: c for c in settings.classes}
         self.ranks.clear()
+        for table in (self.ranks, self.learned, self.heat):
+            table.most = settings.memo
 
     # ---- Ranking, membership and warm-up
     def ranked(self, role: str, obj: str) -> tuple[Server, ...]:
@@ -166,8 +170,6 @@
             weighted = self.set.nominal_weights
             by = {s.id: score(obj, s.id, s.weight if weighted else 1.0) for s in own}
             found = tuple(sorted(own, key=lambda s: (-by[s.id], s.id)))
-            if len(self.ranks) >= MEMO:
-                self.ranks.clear()
             self.ranks[key] = found
         return found
 
@@ -369,7 +371,7 @@
 
     # ---- Purge bounds
     def on_purged(self, event: api.Purged) -> None:
-        if len(self.purged) > MEMO:
+        if len(self.purged) > self.set.memo:
             self.purged = {k: t for k, t in self.purged.items() if not self.cleared(t)}
         key = ("object", event.object) if event.object else ("group", event.group)
         self.purged[key] = max(self.purged.get(key, -(2**62)), self.now - event.age)
@@ -498,9 +500,8 @@
         self.mean_cost += EWMA * (work / cls.worth - self.mean_cost) / 4 if cls.worth else 0.0
         job.value = cls.worth * self.mean_cost / max(1.0, work)
         self.attempt(job)
-        if len(self.heat) >= MEMO:
-            self.heat.clear()
-        self.heat.setdefault(req.object, Flow(HEAT_SPAN)).add(self.now, work)
+        self.heat[req.object] = heat = self.heat.get(req.object) or Flow(HEAT_SPAN)
+        heat.add(self.now, work)
 
     def own_copy(self, job: Job) -> bool:
         """Serve this router's own copy? Within the age that a cache's copy may have, purges included, and as
@@ -769,8 +770,6 @@
             self.lag = max(1.0 * MS, self.lag + (EWMA * gap if gap < 0 else EWMA * min(gap, self.lag) / 10))
         else:
             key = (req.object, req.part)
-            if len(self.learned) >= MEMO:
-                self.learned.clear()
             self.learned[key] = min(took, self.learned.get(key, took) * 1.01)
             old = self.means.get(req.cls, took)
             self.means[req.cls] = old + EWMA * (took - old)
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -12,8 +12,6 @@
 
 from onyxpulley.copies import Copies, Copy
 
-BODIES = 16_000_000  # bytes that open requests may have brought together
-
 
 def now_us() -> int:
     """The clock of all spans."""
@@ -155,11 +153,18 @@
     def abort(self, attempt: Attempt) -> None: ...
 
 
+class Bounds(Protocol):
+    """What the open requests may take together."""
+
+    most_open: int
+    bodies: int  # bytes that they brought
+
+
 class Exchange:
     """All open requests of the program. Single-threaded; never calls itself while orders are carried out."""
 
-    def __init__(self, decider: Decider, carrier: Carrier, most_open: int, copies: Copies) -> None:
-        self.decider, self.carrier, self.most_open = decider, carrier, most_open
+    def __init__(self, decider: Decider, carrier: Carrier, bounds: Bounds, copies: Copies) -> None:
+        self.decider, self.carrier, self.bounds = decider, carrier, bounds
         self.copies = copies
         self.open: dict[str, Request] = {}
         self.txns: set[str] = set()  # of the open ones
@@ -177,7 +182,7 @@
         self.serial += 1
         request.key = f"q{self.serial}"
         self.bodies += len(request.body)  # both bound the memory of all open requests together
-        if (self.closing and not first) or len(self.open) >= self.most_open or self.bodies > BODIES:
+        if (self.closing and not first) or self._full():
             self._answer(request, Answer(Verdict.REFUSED, later=self.decider.stay_away()))
             return
         if request.txn in self.txns:  # servers know a request by it: two would get each other's answers
@@ -188,6 +193,9 @@
         request.own = self.copies.find((request.cls, request.item, request.part))
         self.run(self.decider.pick(request))
 
+    def _full(self) -> bool:
+        return len(self.open) >= self.bounds.most_open or self.bodies > self.bounds.bodies
+
     def left(self, request: Request) -> None:
         """The client stopped waiting: no answer is owed, what is out is given up."""
         if request.ended:
@@ -318,6 +326,7 @@
             if not attempt.ended:
                 self._close(attempt)
                 self.carrier.abort(attempt)
+        request.attempts.clear()  # each holds the request: both would stay until a collection
 
     @staticmethod
     def _close(attempt: Attempt) -> None:
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -56,18 +56,23 @@
 
 class Facade:
     def __init__(
-        self, params: Json, seed: int, own_transfers: float = 0.0, clock: Callable[[], int] = now_us
+        self,
+        params: Json,
+        seed: int,
+        own_transfers: float = 0.0,
+        memo: int = 40_000,
+        clock: Callable[[], int] = now_us,
     ) -> None:
-        self._read(replace(read_settings(params), own_transfers=own_transfers))
+        self._read(replace(read_settings(params), own_transfers=own_transfers, memo=memo))
         self.clock = clock
         self.offset = time.time_ns() // 1000 - clock()  # fixed: one start is one stamp for the module
         self.router = Router(self.settings, seed)
         self.live: dict[str, Request] = {}
         self.timers: list[tuple[int, int]] = []
 
-    def configure(self, params: Json, own_transfers: float) -> None:
+    def configure(self, params: Json, own_transfers: float, memo: int) -> None:
         """Other settings from now on. Raises BadConfig on those that would change what servers are to it."""
-        new, old = replace(read_settings(params), own_transfers=own_transfers), self.settings
+        new, old = replace(read_settings(params), own_transfers=own_transfers, memo=memo), self.settings
         if (new.zone, new.parent_kind, new.origin_kind) != (old.zone, old.parent_kind, old.origin_kind):
             raise BadConfig("zone and kinds take a restart")
         if new != old:
--- a/onyxpulley/interface.py
+++ b/onyxpulley/interface.py
@@ -120,6 +120,7 @@
     purge_grace: int = 0
     purge_done: int = 10_000_000
     report: tuple[str, ...] = ()
+    memo: int = 40_000  # entries of each table of objects: rankings, what was asked for, learned sizes
     own_transfers: float = 0.0  # at full pace, that fit on this router's own link; 0: it keeps no copies
 
 
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -53,9 +53,9 @@
         self.conf, self.phase, self.operator = conf, Phase.STARTING, operator
         if operator is not None:
             conf.limits.signature_boxes = operator.boxes
-        self.facade = Facade(conf.settings, conf.seed, conf.transfers)
+        self.facade = Facade(conf.settings, conf.seed, conf.transfers, conf.limits.memo)
         self.servers = Servers(conf.limits)
-        self.exchange = Exchange(self.facade, self.servers, conf.limits.most_open, Copies(conf.limits.copies))
+        self.exchange = Exchange(self.facade, self.servers, conf.limits, Copies(conf.limits.copies))
         self.servers.exchange = self.exchange
         self.bulletin = Bulletin(conf.bulletin, 0, self.facade, self.exchange, self.servers)
         self.clients = Clients(self.exchange, self.facade.classes, conf.limits)
@@ -132,7 +132,7 @@
             new = config.load(os.environ)
             if (new.name, new.listen) != (old.name, old.listen):
                 raise config.BadConfig("name and listen take a restart")
-            self.facade.configure(new.settings, new.transfers)
+            self.facade.configure(new.settings, new.transfers, new.limits.memo)
         except config.BadConfig as problem:
             self.reloads["rejected"] += 1
             print(f"{old.name}: reload: kept the old settings: {problem}", file=sys.stderr, flush=True)
@@ -140,7 +140,6 @@
         new.limits.signature_boxes = old.limits.signature_boxes  # of the operator's file
         old.limits.take(new.limits)
         new.limits, self.conf = old.limits, new
-        self.exchange.most_open = new.limits.most_open
         self.exchange.copies.shrink(new.limits.copies)
         self.clients.classes = self.facade.classes
         self.bulletin.move(new.bulletin)
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -131,19 +131,23 @@
                 await self.wake.wait()
                 self.wake.clear()
                 while self.waiting:
-                    batch, size, sent = [], 0, 0
-                    while self.waiting and size < 65_536:
-                        what = self.waiting.popleft()
-                        piece = self._encode(what)
-                        batch.append(piece)
-                        size += len(piece)
-                        sent += bool(piece) and isinstance(what, Attempt)
-                    if size:
-                        await loop.sock_sendall(self.sock, b"".join(batch))
-                        self.pool.servers.forwards += sent
+                    await self._batch(loop)
         except OSError:
             self.close(Outcome.BROKEN)
 
+    async def _batch(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Apart from its task, which would hold on to requests and bytes while it waits."""
+        batch, size, sent = list[bytes](), 0, 0
+        while self.waiting and size < 65_536:
+            what = self.waiting.popleft()
+            piece = self._encode(what)
+            batch.append(piece)
+            size += len(piece)
+            sent += bool(piece) and isinstance(what, Attempt)
+        if size:
+            await loop.sock_sendall(self.sock, b"".join(batch))
+            self.pool.servers.forwards += sent
+
     def _encode(self, what: Attempt | bytes) -> bytes:
         """The rules are checked once more here, at the write."""
         if isinstance(what, bytes):
@@ -226,6 +230,8 @@
         for task in self.tasks:
             if task is not current:
                 task.cancel()
+        self.tasks.clear()
+        self.buffer = Buffer(0, 0)
         self.sock.close()
         out, waiting = list(self.out.values()), list(self.waiting)
         self.out.clear()
--- a/tests/player.py
+++ b/tests/player.py
@@ -7,7 +7,8 @@
 it in again later; `{32 …}` and `{48001 bytes}` stand for what is too long to write. The first line names the
 servers and, after `|`, limits that differ. Other lines: `wait S`, `term`, `exit N`, `beside` (starts a second
 process, to which `term` and `exit` do not go), `PARTY end` (the program closes it), `PARTY close`, `many N`
-(connections that say nothing; `hold N`: at the second address), `ID refuse`, `ID break`, `ID resets` (its
+(connections that say nothing; `hold N`: at the second address; `large N`: half
+of a large message), `ID refuse`, `ID break`, `ID resets` (its
 next one), `PARTY deaf`, `log has TEXT`, `log lacks TEXT`, `b lists ID=STATE`, `b purges ITEM`, `b moves` (to
 another address, told by SIGHUP), `config TEXT` (the file holds TEXT, told by SIGHUP).
 At the end nothing may be left unread at any party.
@@ -338,10 +339,13 @@
             self.rosters += 1
             recall = {"no": 1 + self.rosters, "recall": {"item": rest, "issued": int(time.time() * 1000)}}
             await self.send("b", json.dumps(recall).replace("\\", "\\\\") + "\\n")
-        elif name in ("many", "hold"):
-            port = self.ports["c" if name == "many" else "k"]
+        elif name in ("many", "hold", "large"):
+            port = self.ports["k" if name == "hold" else "c"]
             for _ in range(int(verb)):
                 self.crowd.append((await asyncio.open_connection("127.0.0.1", port))[1])
+                if name == "large":
+                    part = resp([b"ASK", b"1", b"convert-job", b"-", b"x" * 48_000])[:-9]
+                    self.crowd[-1].write(part)
         elif verb == "resets":
             self.parties[name].resets = True
         elif name == "config":
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -14,6 +14,7 @@
 from onyxpulley import config
 from onyxpulley.clients import LINES, Clients
 
+from .helpers import World, with_settings
 from .player import SETTINGS, Play, read_cases
 
 FOLDER = Path(__file__).parent / "exchanges"
@@ -56,6 +57,24 @@
     assert "Traceback" not in run.stderr
 
 
+@pytest.mark.parametrize("megabytes", [32, 40, 64, 192])
+def test_all_bounds_together_fit_in_the_memory(megabytes: int, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**GOOD, "limits": {"memory_mb": megabytes, "sockets": 256}}))
+    limits = config.load({"GW_CONFIG": str(path)}).limits
+    held = limits.copies + limits.bodies + limits.buffers + limits.memo * config.ENTRY
+    assert config.BASE + held <= megabytes * 1e6 and limits.memo >= 900 and limits.most_open >= 800
+
+
+def test_the_tables_of_the_decisions_stay_within_their_bound() -> None:
+    world = World(with_settings(memo=50))
+    for no in range(200):
+        world.serve(f"x{no}")
+    router = world.router
+    assert all(len(table) <= 50 for table in (router.ranks, router.heat, router.learned))
+    assert "x199" in router.heat and "x0" not in router.heat, "what was asked for longest ago goes first"
+
+
 @pytest.mark.parametrize("sockets", [256, 384, 1024])
 def test_all_connections_together_fit_in_the_descriptors(sockets: int, tmp_path: Path) -> None:
     path = tmp_path / "config.json"
