Tests: a reload is waited for, since two signals close together may be one

'config {' was followed at once by 'b moves': the program, when slow, reads the second file for both signals, and never says that the first one was bad. At fault: Play.reload, which did not wait. Ruled out: the time limits of that exchange.

--- a/tests/player.py
+++ b/tests/player.py
@@ -198,9 +198,14 @@
             await asyncio.sleep(0.02)
         await self.expect("b", '"after 1\\n"')
 
-    def reload(self, text: str) -> None:
+    async def reload(self, text: str) -> None:
+        """Until the program has read it: two signals close together may be one to it."""
+        before = self.log.read_text().count("reload")
         (self.folder / "config.json").write_text(text)
         self.process.send_signal(signal.SIGHUP)
+        async with asyncio.timeout(PATIENCE):
+            while self.log.read_text().count("reload") == before:
+                await asyncio.sleep(0.02)
 
     async def beat(self) -> None:
         """The number that the bulletin gives each second."""
@@ -349,14 +354,14 @@
         elif verb == "resets":
             self.parties[name].resets = True
         elif name == "config":
-            self.reload(f"{verb} {rest}")
+            await self.reload(f"{verb} {rest}")
         elif name == "b" and verb == "moves":
             old, party = self.parties["b"], Party()
             party.server = await asyncio.start_server(party.read, "127.0.0.1", 0)
             self.parties["b"] = party
             assert old.server is not None
             old.server.close()
-            self.reload(json.dumps({**self.config, "bulletin": f"127.0.0.1:{self.port('b')}"}))
+            await self.reload(json.dumps({**self.config, "bulletin": f"127.0.0.1:{self.port('b')}"}))
         elif verb == ">":
             await self.send(name, rest)
         elif verb == "<":
