Make room for connections among all fronts; the signed one waits for slow requests too

Front.admit (program.py) let the signed front's callers make way by (spoke, used), where a request that is slow to arrive goes before the silent, and never the platform's silent ones; with all places taken by those, a signed caller was closed on. Ruled out: the administration API, whose callers are the staff: they never make way for the public.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -7,13 +7,13 @@
 import socket
 import sys
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from onyxpulley import fields
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
-from onyxpulley.listeners import Listener
+from onyxpulley.listeners import FIRST, SILENT, Holder, Listener, make_room
 
 if TYPE_CHECKING:
     from onyxpulley.config import Limits
@@ -29,8 +29,6 @@
 # clients take 2 s and somewhat more, bad ones are to be gone 3 s after connecting
 LINES = 20  # of the log for bad clients, in a second
 STALL = 10.0  # seconds that a client may leave an answer unread
-SILENT = 4  # times that silence counts on a connection that never said anything: half fails slow requests
-FIRST = 1_000_000  # us that a connection without a request is left when the router leaves
 LATELY = 2_100_000  # us from a client's last request in which it cannot be left open at the end of a drain
 WORD = {
     Verdict.SERVED: b"good",
@@ -329,6 +327,7 @@
         self.exchange, self.classes, self.limits = exchange, classes, limits
         self.all: set[Client] = set()
         self.beside: Callable[[], int] = lambda: 0  # connections of the other fronts
+        self.others: Callable[[], Iterable[Holder]] = tuple  # those of them that may have to make way
         self.held = 0
         self.fit = self.leaving = False
         self.said, self.said_at = 0, 0
@@ -338,14 +337,9 @@
         return self.limits.clients
 
     def admit(self) -> bool:
-        """Room for one more, in place of the one that has been still for longest where there is none. Guards
-        requests that are slow to arrive: they and those that wait for their next one outlast the silent."""
+        """Room for one more, in place of another one where there is none: the bound is on all fronts."""
         if len(self.all) + self.beside() >= self.most:
-            spare = [c for c in self.all if c.spare()]
-            if not spare:
-                return False
-            now = now_us()
-            max(spare, key=lambda c: c.still(now)).close()
+            return make_room((*self.all, *self.others()), now_us())
         return True
 
     def _count(self) -> None:
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -16,6 +16,7 @@
 import httptools
 
 from onyxpulley.core import now_us
+from onyxpulley.listeners import SILENT
 
 URL = 8_192
 HEADERS = 16_384
@@ -90,7 +91,7 @@
         self.closed = False
         self.busy = False
         self.used = self.began = now_us()  # `began`: since when a request is awaited, 0: none is
-        self.spoke = False
+        self.spoke = self.heard = False  # a whole request came, anything at all
         self.tasks: list[asyncio.Task[Any]] = []
         self.leaving: Callable[[], bool] = lambda: False  # each answer is then the connection's last
 
@@ -141,15 +142,22 @@
         self.spoke, self.began = True, 0
         self.wake.set()
 
-    def idle(self) -> bool:
+    def spare(self) -> bool:
+        """Nothing is owed to it, though half a request may be here."""
         return not self.busy and not self.calls
 
+    def idle(self) -> bool:
+        return self.spare() and not (self.heard and self.began)
+
+    def still(self, now: int) -> int:
+        return (now - self.used) * (1 if self.heard else SILENT)
+
     def overdue(self) -> bool:
         """No whole request for long: bytes that trickle in do not count, nor does silence."""
         now = now_us()
         if self.began and now - self.began > WHOLE * 1e6:
             return True
-        return self.idle() and now - self.used > IDLE * 1e6
+        return self.spare() and now - self.used > IDLE * 1e6
 
     # ---- Two tasks
     async def run(self) -> None:
@@ -162,6 +170,7 @@
                 got = await self.stream.receive_into(room)
                 if not got:
                     break
+                self.heard, self.used = True, now_us()
                 self.parser.feed_data(room[:got])
                 if self.calls and self.calls[-1].problem:
                     await asyncio.sleep(STALL)  # its answer ends the connection, and this task
--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -8,7 +8,11 @@
 import socket
 import struct
 import sys
+from collections.abc import Iterable
+from typing import Protocol
 
+SILENT = 4  # times that silence counts on a connection that never said anything: half fails slow requests
+FIRST = 1_000_000  # us that a connection without a request is left when the router leaves
 PAUSE = 0.05  # after a failed accept, mostly for want of descriptors
 ATTACH = 51  # SO_ATTACH_REUSEPORT_CBPF, which the socket module does not name
 RETURN = 0x06  # BPF_RET | BPF_K: the whole program is "socket K of the group"
@@ -22,6 +26,23 @@
         sock.setsockopt(socket.SOL_SOCKET, ATTACH, struct.pack("HP", 1, ctypes.addressof(program)))
 
 
+class Holder(Protocol):
+    """A connection that may have to make way for another one, whatever its front."""
+
+    def spare(self) -> bool: ...
+    def still(self, now: int) -> int: ...
+    def close(self) -> None: ...
+
+
+def make_room(holders: Iterable[Holder], now: int) -> bool:
+    """Closes the one that has been still for longest, of those to whom nothing is owed. Guards requests that
+    are slow to arrive: they and those that wait for their next one outlast the silent."""
+    spare = [holder for holder in holders if holder.spare()]
+    if spare:
+        max(spare, key=lambda holder: holder.still(now)).close()
+    return bool(spare)
+
+
 class Listener:
     """`admit` says whether one more connection has room; `welcome` takes it."""
 
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -20,9 +20,9 @@
 from onyxpulley.clients import Clients
 from onyxpulley.console import Console, Figure
 from onyxpulley.copies import Copies
-from onyxpulley.core import Exchange, Verdict
+from onyxpulley.core import Exchange, Verdict, now_us
 from onyxpulley.facade import Facade
-from onyxpulley.listeners import Listener
+from onyxpulley.listeners import FIRST, Listener, make_room
 from onyxpulley.servers import Servers
 
 if TYPE_CHECKING:
@@ -65,6 +65,7 @@
         self.since = 0.0  # when it began to leave
         self.reloads = {"applied": 0, "rejected": 0}
         self.clients.beside = lambda: sum(len(front.tasks) for front in self.fronts)
+        self.clients.others = lambda: [c for f in self.fronts if f.public for c in f.all]
         self.watch: list[Callable[[], object]] = []
 
     def enter(self, phase: Phase) -> None:
@@ -212,7 +213,7 @@
                 signed = Signed(
                     operator.public, operator.tenants, self.exchange, self.facade, bool(operator.boxes)
                 )
-                self.fronts.append(Front(operator.listen, signed.connection, self.clients))
+                self.fronts.append(Front(operator.listen, signed.connection, self.clients, public=True))
                 signed.fit = lambda: self.clients.fit
                 signed.leaving = lambda: self.clients.leaving
             if operator.admin is not None and operator.files is not None:
@@ -279,20 +280,18 @@
         address: tuple[str, int],
         connect: Callable[[socket.socket], Connection | Awaitable[Connection | None]],
         clients: Clients,
+        public: bool = False,  # its callers make way for others; the staff's do not
     ) -> None:
         super().__init__()
         self.listen(address)
-        self.connect, self.clients = connect, clients
+        self.connect, self.clients, self.public = connect, clients, public
         self.all: set[Connection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def admit(self) -> bool:
-        if len(self.tasks) >= HTTP or len(self.clients.all) + self.clients.beside() >= self.clients.most:
-            idle = [c for c in self.all if c.idle()]
-            if not idle:
-                return False
-            min(idle, key=lambda c: (c.spoke, c.used)).close()
-        return True
+        if len(self.tasks) >= HTTP:
+            return make_room(self.all, now_us())
+        return self.clients.admit()
 
     def welcome(self, sock: socket.socket) -> None:
         task = asyncio.create_task(self._one(sock))
@@ -315,7 +314,8 @@
             connection.close()
 
     def leave(self) -> None:
-        for connection in [c for c in self.all if c.leaving() and c.idle()]:
+        late = now_us() - FIRST
+        for connection in [c for c in self.all if c.leaving() and c.idle() and (c.spoke or c.used < late)]:
             connection.close()
 
     def close(self) -> None:
