Keep parents within half their link, and open fewer connections where answers are slow

Two causes, each harmless in one router.

Now a parent keeps half of its link, as all routers together would fill it if each asked as much as this one; its share of the fills, without a quarter more, while they are late. Reason for half: what the settings tell of parents is their link, and with its other half the next burst of up to 2.5 times fits as far as the rest is shared out.

A connection was held for silent after the connect time-out (0.4 s) without a byte. Ruled out: idle closes (0) and the connections that jobs have for themselves (3 in 100 requests). Now it is the time-out and twice the time that answers usually take.

--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -50,7 +50,7 @@
 OWN_MARGIN = 100 * MS  # an own copy is let go so much before its age is up: it is written a little later
 CONFIRM = 0.05  # cost of telling a client that its copy holds, as a part of the bytes
 HOME_SPAN = 30_000 * MS  # memory of how the fills share out: half is chance at ten in a second, double lags
-HOME_MOST, HOME_FEW = 1.25, 10.0  # times its share that a parent is home to; fills first held for even
+HOME_LINK, HOME_FEW = 0.5, 10.0  # part of a parent's link for what it is home to; fills first held for even
 EWMA = 0.1  # weight of one sample in the running means
 
 
@@ -112,8 +112,7 @@
         self.ran, self.ran_at = False, 0  # an attempt may have run, or is out; since when
         self.ran_on: Server | None = None
         self.bad: set[str] = set()  # servers and sources that failed this request
-        self.stayed = False  # its server was asked once more, after a connection ended or an answer was lost
-        self.stale, self.held = False, False  # may be stale; only what the cache holds
+        self.stayed, self.stale, self.held = False, False, False  # asked there again; old will do; held only
 
 
 class Router:
@@ -460,18 +459,20 @@
         return None
 
     def sources(self, job: Job, up: list[Server]) -> list[Server]:
-        """Its object's parent, then others by a hash of object and part. While fills are late, one that is
-        home to more than its link's share keeps that only. Guards against a hot object, whose fills from all
-        over jam one link: what one router sees of that comes too late. Hurts by second copies at parents."""
-        name = f"{job.req.object}/{job.req.part}"
-        rest = [p for p in self.ranked("parent", name) if p in up[1:]]
-        if not rest or self.slowness(self.inlet) <= COOL:
+        """Its object's parent, then others by a hash of object and part. One that is home to more than half
+        its link or, while fills are late, than its link's share keeps that only. Guards against a hot object,
+        whose fills jam one link: a router learns of that too late. Hurts by second copies at parents."""
+        name, told = f"{job.req.object}/{job.req.part}", self.set.nominal_weights
+        rest, late = [p for p in self.ranked("parent", name) if p in up[1:]], self.slowness(self.inlet) > COOL
+        if not rest or not (late or told) or not up[0].home.since:
             return up[:1] + rest
-        few = HOME_FEW * self.mean_cost / HOME_SPAN
-        fair = up[0].weight / sum(p.weight for p in up) if self.set.nominal_weights else 1.0 / len(up)
-        part = fair * (few + sum(p.home.over_span(self.now) for p in up))
-        part /= fair * few + up[0].home.over_span(self.now)
-        return up[:1] + rest if part_of(name, up[0].id) < HOME_MOST * part else rest + up[:1]
+        home, few = up[0].home, HOME_FEW * self.mean_cost / HOME_SPAN
+        fair = up[0].weight / sum(p.weight for p in up) if told else 1.0 / len(up)
+        every = few + sum(p.home.over_span(self.now) for p in up)
+        keep = fair * every / max(1e-9, fair * few + home.over_span(self.now))
+        if not late:  # what all routers send it, if each sends as much as this one
+            keep = max(keep, HOME_LINK * up[0].weight / self.set.routers / max(1e-9, home.rate(self.now)))
+        return up[:1] + rest if part_of(name, up[0].id) < keep else rest + up[:1]
 
     def from_origin(self, source: Server, job: Job, work: float) -> bool:
         """May a parent fetch what it lacks? Not the part that a refusing origin does not take."""
@@ -554,17 +555,16 @@
         for party in (server, attempt.source):
             if party is not None and party.down_until:
                 party.trial = True
-        time_out = job.due - self.now
         source_id = source.id if source is not None else server.id
         if cls.uncached and server.role != "cache":
-            self.actions.append(api.Ask(req.id, server.id, time_out))
+            self.actions.append(api.Ask(req.id, server.id, job.due - self.now))
         else:
             rank = 0 if not cached or cls.uncached else 2 if req.object in self.heat else 1  # 1: one-offs
             renew = cls.fresh > 0 and cached
             age, join = self.max_age(job), self.set.joins
             attempt.held = source is None or not (cls.uncached or self.from_origin(source, job, work))
             held = attempt.held and source is not None
-            fields = (req.id, server.id, time_out, source_id, rank, age, join, held, renew)
+            fields = (req.id, server.id, job.due - self.now, source_id, rank, age, join, held, renew)
             self.actions.append(api.Fetch(*fields))
         late = LOOK_FACTOR * attempt.expect + LOOK_FILLS * self.fill_lag
         self.later(attempt, int(late) + LOOK_LEAST)
@@ -822,5 +822,5 @@
             case api.Probed():
                 self.on_probed(event)
             case api.Began():
-                job = self.jobs.pop(event.id, None)
+                self.jobs.pop(event.id, None)
         return self.actions
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -33,6 +33,7 @@
 SHORT = 3  # sweeps in which an answer that has begun does not go on: it never will
 LATER = 64  # requests given up on a connection that it remembers: their answers may still come
 MOST_FOR = 5_000_000  # us for which a server that took no more connections is believed
+USUAL = 0.1  # weight of one answer in the running mean of the time that they take
 TRIES = 2  # connections that an attempt may wait for in vain
 
 
@@ -82,7 +83,7 @@
         txn = attempt.request.txn
         del self.out[txn]
         self.left.append(txn)
-        silent = now_us() - max(self.heard, attempt.begun) > self.pool.limits.connect_timeout * 1e6
+        silent = now_us() - max(self.heard, attempt.begun) > self.pool.servers.silence()
         self.stuck = self.stuck or silent
         self.push(b"abort %s\r\n" % txn.encode())
 
@@ -218,7 +219,9 @@
         report.stamp = fields.number(row.get("stamp", "0"), 0, 2**53)
         if "meter" in row:
             report.load = self.pool.read_load(row["meter"])
-        self.pool.exchange.finish(self.out.pop(words[0]), report)
+        attempt = self.out.pop(words[0])
+        self.pool.servers.answered(self.used - attempt.begun)
+        self.pool.exchange.finish(attempt, report)
 
     def close(self, why: Outcome) -> None:
         """What waited was never written; what is out may have run."""
@@ -263,7 +266,7 @@
         """The least busy connection that may take it, or a new one. What must not run twice goes alone:
         whatever ends a connection ends all that is out on it."""
         now, limits = now_us(), self.limits
-        idle, silence = int(limits.idle * 0.8e6), int(limits.connect_timeout * 1e6)
+        idle, silence = int(limits.idle * 0.8e6), self.servers.silence()
         fit = [
             lane
             for lane in self.lanes
@@ -313,6 +316,7 @@
         self.pools: dict[str, Pool] = {}
         self.retired: list[Pool] = []
         self.forwards = 0  # attempts written whole
+        self.usual = 0.0  # us that an answer took, lately
 
     def listed(self, uid: str, endpoint: str, state: str) -> None:
         """A change of the list. An address may pass to another server, so connections go by id."""
@@ -323,6 +327,14 @@
         if pool is None and state != "Gone":
             self.pools[uid] = Pool(self, uid, endpoint)
 
+    def answered(self, took: int) -> None:
+        self.usual += USUAL * (took - self.usual) if self.usual else took
+
+    def silence(self) -> int:
+        """How long a connection may say nothing while an answer is due on it. Guards against a new one for
+        every request beside a large one: where traffic is thin, nothing else is heard until that is here."""
+        return int(self.limits.connect_timeout * 1e6 + 2 * self.usual)
+
     def room(self) -> bool:
         """One more descriptor for a connection to a server? An idle one makes way where there is none."""
         pools = (*self.pools.values(), *self.retired)
--- a/tests/player.py
+++ b/tests/player.py
@@ -7,10 +7,10 @@
 it in again later; `{32 …}` and `{48001 bytes}` stand for what is too long to write. The first line names the
 servers and, after `|`, limits that differ. Other lines: `wait S`, `term`, `exit N`, `beside` (starts a second
 process, to which `term` and `exit` do not go), `PARTY end` (the program closes it), `PARTY close`, `many N`
-(connections that say nothing; `hold N`: at the second address; `large N`: half
-of a large message), `ID refuse`, `ID break`, `ID resets` (its
-next one), `PARTY deaf`, `log has TEXT`, `log lacks TEXT`, `b lists ID=STATE`, `b purges ITEM`, `b moves` (to
-another address, told by SIGHUP), `config TEXT` (the file holds TEXT, told by SIGHUP).
+(connections that say nothing; `hold N`: at the second address; `large N`: half of a large message),
+`ID refuse`, `ID break`, `ID resets` (its next one), `ID connections N` (so far), `PARTY deaf`,
+`log has TEXT`, `log lacks TEXT`, `b lists ID=STATE`, `b purges ITEM`, `b moves` (to another address, told by
+SIGHUP), `config TEXT` (the file holds TEXT, told by SIGHUP).
 At the end nothing may be left unread at any party.
 """
 
@@ -96,14 +96,14 @@
         self.got, self.news, self.ended = b"", asyncio.Event(), False
         self.writer: asyncio.StreamWriter | None = None
         self.server: asyncio.Server | None = None
-        self.resets = False
+        self.resets, self.connections = False, 0
         self.owner: dict[bytes, asyncio.StreamWriter] = {}  # where a request came, there its answer goes
 
     async def read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.resets:
             self.resets = False
             return writer.transport.abort()
-        self.writer, self.ended = writer, False
+        self.writer, self.ended, self.connections = writer, False, self.connections + 1
         try:
             while data := await reader.read(65536):
                 self.got += data
@@ -353,6 +353,8 @@
                     self.crowd[-1].write(part)
         elif verb == "resets":
             self.parties[name].resets = True
+        elif verb == "connections":
+            assert self.parties[name].connections == int(rest), self.parties[name].connections
         elif name == "config":
             await self.reload(f"{verb} {rest}")
         elif name == "b" and verb == "moves":
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -159,3 +159,15 @@
     for i in range(40):
         quiet = filled(worlds[0], f"q{i}", range(2), 150_000)
     assert len(set(quiet)) == 1, "back at one parent when fills come in time again"
+
+
+def test_a_parent_is_home_to_half_its_link_as_all_routers_together_would_fill_it() -> None:
+    """Before anything is late: what jams in a second must not wait for a router to see it."""
+    rows = tuple(replace(e, weight=20.0) if e.kind == "parent" else e for e in entries(4, 8))
+    named = {}
+    for routers in (4, 200):  # one fill a quarter of a second is 0.4 of a transfer; at 200 routers 80
+        world = World(replace(BASE, routers=routers, nominal_weights=True), rows)
+        filled(world, "hot", range(60), 150_000)
+        named[routers] = set(filled(world, "hot", range(100, 140), 150_000))
+    assert len(named[4]) == 1, "the ordinary path: one parent for an object"
+    assert len(named[200]) == 8
