Call the bulletin again within 0.8 s however it hangs, and heed unread news at each write

Read instead, line by line, for the latest moment: `bulletin.py` waited 2.5 s on a connect that hangs (`asyncio.timeout(SILENT)` round `sock_connect`), 2.5 s on one that comes up and says nothing, and up to 1.0 s between two (`PAUSE`), one call at a time, all routers in step: 3.5 s after discovery is back, of the 4 to 6 that a drain at the end of an 8 s outage leaves. A line that cannot be used ended the connection and was asked for again for ever (`_listen`): no later drain was heard. An event that had arrived waited behind the requests of that turn of the loop, on a clock that processor time moves. And `_batch` rechecked up to 64 KB of requests at once before one write: behind a server that reads slowly, their first bytes left long after.

Ruled out: the recheck itself (server and source, by object, also of servers that left the list), a reused address (pools go by id), the order of an event's effects (one turn of the loop).

Change: `news.Watch` decides when to call: beside a call that hangs another one after 0.25 to 0.75 s, beside a silent one after 1.5 to 1.8 s, at most 4 at a time, waits spread by luck; who speaks first goes on alone. `news.Ledger` asks for a bad event once more, then passes over it, named in one line. `Bulletin.heed` reads what has arrived before each pick and write. One attempt a write.

--- a/onyxpulley/bulletin.py
+++ b/onyxpulley/bulletin.py
@@ -1,58 +1,120 @@
-"""The list of servers and the purges: a numbered stream that is resumed where it broke off."""
+"""The bulletin on its sockets: calls that are resumed where they broke off, and read again before a write."""
 
 from __future__ import annotations
 
 import asyncio
-import json
-import re
+import contextlib
+import random
 import socket
 import sys
+import time
 from collections.abc import Sequence
 from typing import Any
 
-from onyxpulley import fields
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Exchange
-from onyxpulley.facade import STATES, Facade, Member
+from onyxpulley.facade import Facade, Member
+from onyxpulley.news import QUIET, UP, BadNews, Event, Ledger, Recall, Roster, Watch, event
 from onyxpulley.servers import Servers
 
-LINE = 1_000_000
-SILENT = 2.5  # seconds without the number that comes each second: the connection is dead
-UID = re.compile(r"[!-+\--~]{1,128}")
-BAD = (ValueError, LookupError, TypeError, AttributeError, ArithmeticError, RecursionError, BufferError)
-PAUSE = 0.1, 1.0  # first and longest wait before connecting again
+LOOK = 0.02  # seconds for which what was read counts as all there is: a small part of the grace of a drain
+
+
+class Call:
+    """One connection to the bulletin."""
+
+    def __init__(self, bulletin: Bulletin) -> None:
+        self.bulletin = bulletin
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setblocking(False)
+        self.buffer = Buffer(16_384, bulletin.line)
+        self.up = False
+        self.got = 0  # bytes so far
+        self.task: asyncio.Task[None]
+
+    async def run(self, key: int, address: tuple[str, int]) -> None:
+        """Until it is up; from then on whoever finds it readable reads it."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(UP):
+                await loop.sock_connect(self.sock, address)
+                await loop.sock_sendall(self.sock, b"after %d\n" % self.bulletin.no)
+            self.up = True
+            self.bulletin.watch.up(time.monotonic(), key)
+            loop.add_reader(self.sock, self.bulletin.read, key)
+        except (OSError, TimeoutError):
+            self.bulletin.end(key)
+        finally:
+            if not self.up:
+                self.sock.close()
+
+    def lines(self) -> Sequence[bytes] | None:
+        """All lines that are there now, None at its end. Raises BufferError on one that is too long."""
+        found: list[bytes] = []
+        try:
+            while True:
+                got = self.sock.recv_into(self.buffer.room())
+                if not got:
+                    return found or None
+                self.got += got
+                self.buffer.end += got
+                while (line := self.buffer.line(self.bulletin.line)) is not None:
+                    found.append(line)
+        except BlockingIOError:
+            return found
+        except OSError:
+            return found or None
+
+    def close(self) -> None:
+        if self.up:
+            asyncio.get_running_loop().remove_reader(self.sock)
+            self.sock.close()
+        elif self.task is not asyncio.current_task():
+            self.task.cancel()
 
 
 class Bulletin:
     def __init__(
-        self, address: tuple[str, int], no: int, facade: Facade, exchange: Exchange, servers: Servers
+        self,
+        address: tuple[str, int],
+        seed: int,
+        line: int,
+        facade: Facade,
+        exchange: Exchange,
+        servers: Servers,
     ) -> None:
-        self.address, self.no = address, no
+        self.address, self.line = address, line
         self.facade, self.exchange, self.servers = facade, exchange, servers
-        self.session: asyncio.Task[None] | None = None
-        self.pause = PAUSE[0]
+        self.ledger, self.watch = Ledger(self.say), Watch(random.Random(seed).random)
+        self.calls: dict[int, Call] = {}
+        self.changed = asyncio.Event()
+        self.looked = self.heard = time.monotonic()
 
-    def event(self, row: dict[str, Any]) -> None:
-        """One event in full or not at all. Raises ValueError, KeyError or TypeError on a bad one."""
-        no = int(row["no"])
-        if no <= self.no:
-            return
-        if "roster" in row:
-            roster = row["roster"]
-            members = [member(r) for r in roster["targets"]]
-            self._roster(bool(roster.get("all", False)), members)
-        elif "recall" in row:
-            recall = row["recall"]
-            item, lot, issued = recall.get("item"), recall.get("lot"), int(recall["issued"])
-            if item is None and lot is None:
-                raise ValueError("a recall of nothing")
-            item, lot = None if item is None else str(item), None if lot is None else int(lot)
-            self.exchange.copies.purge(item, lot, issued)
-            orders = self.facade.purge(item, lot, issued)
-            self.exchange.run(orders)
-        self.no = no
+    @property
+    def no(self) -> int:
+        return self.ledger.no
+
+    @staticmethod
+    def say(text: str) -> None:
+        print(f"bulletin: {text}", file=sys.stderr, flush=True)
+
+    # ---- Events
+    def known(self, no: int, rows: Sequence[dict[str, Any]]) -> None:
+        """The events of the start. Raises one of `BAD`."""
+        for row in rows:
+            self.apply(event(row))
+        self.ledger.no = no
+
+    def apply(self, found: Event | None) -> None:
+        if isinstance(found, Roster):
+            self._roster(found.full, found.members)
+        elif isinstance(found, Recall):
+            self.exchange.copies.purge(found.item, found.lot, found.issued)
+            self.exchange.run(self.facade.purge(found.item, found.lot, found.issued))
 
     def _roster(self, full: bool, members: Sequence[Member]) -> None:
+        if not members and not full:
+            return
         if full:
             named = {m.uid for m in members}
             for uid in [uid for uid in self.servers.pools if uid not in named]:
@@ -61,82 +123,102 @@
             self.servers.listed(m.uid, m.endpoint, m.state)
         self.exchange.run(self.facade.roster(full, members))
 
+    # ---- Calls
     def move(self, address: tuple[str, int]) -> None:
         """Goes on at another address from the same number, at once: the old one may stay open, silent."""
         if address != self.address:
-            self.address, self.pause = address, PAUSE[0]
-            if self.session is not None:
-                self.session.cancel()
+            self.address = address
+            for key in list(self.calls):
+                self.end(key)
+            self.watch.moved()
+            self.changed.set()
 
     async def follow(self) -> None:
-        """Runs until cancelled. A bad line ends the connection; the next one resumes after the last good."""
+        """Runs until cancelled."""
         try:
             while True:
-                address = self.address
-                self.session = asyncio.create_task(self._listen())
-                await asyncio.wait([self.session])
-                if address == self.address:  # not moved: give the old one time
-                    await asyncio.sleep(self.pause)
-                    self.pause = min(PAUSE[1], 2 * self.pause)
+                self.changed.clear()
+                self.read_all()  # what is here already is no silence
+                step = self.watch.step(time.monotonic())
+                for key in step.end:
+                    self.end(key)
+                if step.begin:
+                    self._begin()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(step.wake):
+                        await self.changed.wait()
         finally:
-            if self.session is not None:
-                self.session.cancel()
+            for key in list(self.calls):
+                self.end(key)
 
-    async def _listen(self) -> None:
-        loop = asyncio.get_running_loop()
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
+    def _begin(self) -> None:
+        key = self.watch.begun(time.monotonic())
         try:
-            async with asyncio.timeout(SILENT):
-                await loop.sock_connect(sock, self.address)
-                await loop.sock_sendall(sock, b"after %d\n" % self.no)
-            buffer = Buffer(16_384, LINE)
-            while True:
-                async with asyncio.timeout(SILENT):
-                    got = await loop.sock_recv_into(sock, buffer.room())
-                if not got:
-                    return
-                buffer.end += got
-                while (line := buffer.line(LINE)) is not None:
-                    self._line(line)
-                self.pause = PAUSE[0]
-        except (OSError, TimeoutError):
-            pass
-        except BAD as problem:
-            print(f"bulletin: bad line after {self.no}: {problem!r}"[:300], file=sys.stderr, flush=True)
-        finally:
-            sock.close()
-
-    def _line(self, line: bytes) -> None:
-        text = line.strip()
-        if not text:
+            call = self.calls[key] = Call(self)
+        except OSError as problem:  # no descriptor left: it is tried again
+            self.say(str(problem))
+            self.watch.ended(time.monotonic(), key)
             return
-        if text.isdigit():
-            if int(text) > self.no:
-                raise ValueError(f"events up to {int(text)} are missing")
+        call.task = asyncio.create_task(call.run(key, self.address))
+
+    def end(self, key: int) -> None:
+        call = self.calls.pop(key, None)
+        if call is not None:
+            call.close()
+            self.watch.ended(time.monotonic(), key)
+            self.changed.set()
+
+    def heed(self) -> None:
+        """Before a write: news that lies unread behind other work counts as told. Guards against a drain that
+        waits while requests are worked off."""
+        if time.monotonic() - self.looked >= LOOK:
+            self.read_all()
+
+    def read_all(self) -> None:
+        for key, call in list(self.calls.items()):
+            if call.up:
+                self.read(key)
+
+    def read(self, key: int) -> None:
+        call = self.calls.get(key)
+        if call is None:
             return
-        row = json.loads(text)
-        if int(row["no"]) > self.no + 1:
-            raise ValueError(f"event {row['no']} is not the next")
-        self.event(row)
-
-
-def member(row: dict[str, Any]) -> Member:
-    if row["state"] not in STATES:
-        raise ValueError(f"unknown state {row['state']!r}")
-    host, _, port = str(row["endpoint"]).rpartition(":")
-    if not host:
-        raise ValueError("endpoint without a host")
-    fields.number(port, 1, 65535)
-    if not UID.fullmatch(str(row["uid"])):
-        raise ValueError("an id that no wire can carry")
-    return Member(
-        uid=str(row["uid"]),
-        endpoint=str(row["endpoint"]),
-        zone=str(row.get("az") or ""),
-        model=str(row.get("model") or ""),
-        cell=int(row.get("pod_group") or 0),
-        state=str(row["state"]),
-        weight=float(row.get("capacity_hint") or 1.0),
-        boot_ms=int(row.get("boot_ms") or 0),
-    )
+        self.looked, before = time.monotonic(), call.got
+        try:
+            lines = call.lines()
+            if call.got > before:
+                self._spoke(key)
+            if lines is None:
+                self.end(key)
+                return
+            self._take(lines)
+        except BadNews as problem:
+            self.say(str(problem))
+            self.end(key)
+        except BufferError as problem:
+            self.say(f"after {self.no}: {problem}")
+            self.end(key)
+
+    def _take(self, lines: Sequence[bytes]) -> None:
+        """Changes of the list that follow one another count as one: after an outage, or in a release of
+        hundreds of servers, each would cost a look at all servers. Raises BadNews after what was good."""
+        changes: list[Member] = []
+        try:
+            for line in lines:
+                found = self.ledger.read(line)
+                if isinstance(found, Roster) and not found.full:
+                    changes += found.members
+                elif found is not None:
+                    self._roster(False, changes)
+                    changes.clear()
+                    self.apply(found)
+        finally:
+            self._roster(False, changes)
+
+    def _spoke(self, key: int) -> None:
+        silent, self.heard = self.looked - self.heard, self.looked
+        self.watch.spoke(self.looked, key)
+        if silent > QUIET:
+            self.say(f"heard again after {silent:.1f} s, from {self.no} on")
+        if len(self.calls) > 1:
+            self.changed.set()
--- a/onyxpulley/config.py
+++ b/onyxpulley/config.py
@@ -12,6 +12,7 @@
 SPARE = 40  # descriptors for the listeners, the console's callers, the bulletin, the loop, the log and a file
 
 BASE = 26e6  # bytes of the program before its first request
+LISTS, ROW = 1024, 512  # servers that any configuration has room for; bytes of one with the longest id
 ENTRY = 900  # bytes of an object in all tables of the decisions together
 
 
@@ -33,6 +34,7 @@
     memory: int  # bytes that queued answers may hold together
     clients: int  # connections of clients, all fronts together
     lanes: int  # connections to servers, all together
+    line: int  # bytes of one line of the bulletin: a whole list is one
     drain: float  # seconds from SIGTERM to the last answer
     signature_boxes: frozenset[str] = frozenset()
 
@@ -90,10 +92,7 @@
     limits = table.get("limits", {})
     classes = settings["classes"]
     longest = max(int(c["deadline"]) for c in classes) / 1e6
-    sockets = int(limits.get("sockets", 1024))
     console = env.get("GW_CONSOLE") or str(table.get("console") or "")
-    memory = float(limits.get("memory_mb", 192)) * 1e6
-    free = max(4e6, memory - BASE)
     known = table.get("known") or {"no": 0, "items": []}
     return Config(
         name=env.get("GW_NAME") or str(table.get("name", "")),
@@ -104,21 +103,30 @@
         known_no=int(known["no"]),
         known=list(known["items"]),
         settings=settings,
-        limits=Limits(
-            connect_timeout=int(bounds.get("connectTimeout", 400_000)) / 1e6,
-            idle=int(bounds.get("connIdle", 15_000_000)) / 1e6,
-            streams=max(1, int(bounds.get("streamsPerConn", 100))),
-            sockets=sockets,
-            most_open=min(2_000, int(memory / 40_000), int(bounds.get("openCap", 2_000))),
-            copies=int(min(0.25 * memory, 0.4 * free)),
-            bodies=int(min(16e6, 0.2 * free)),
-            memo=int(min(40_000, 0.15 * free / ENTRY)),
-            buffers=int(0.2 * free),
-            memory=int(memory * 0.15),
-            clients=max(1, sockets // 2),
-            lanes=max(8, sockets - sockets // 2 - SPARE),
-            drain=min(3.0, longest) + 0.4,
-        ),
+        limits=limits_of(limits, bounds, longest),
         flow=float(table.get("flow_bytes_per_s", 0)),
         link=float(table.get("link_bytes_per_s", 0)),
     )
+
+
+def limits_of(limits: dict[str, Any], bounds: dict[str, Any], longest: float) -> Limits:
+    """Every bound, from what the platform grants and what the settings allow. `longest`: of the deadlines."""
+    sockets = int(limits.get("sockets", 1024))
+    memory = float(limits.get("memory_mb", 192)) * 1e6
+    free = max(4e6, memory - BASE)
+    return Limits(
+        connect_timeout=int(bounds.get("connectTimeout", 400_000)) / 1e6,
+        idle=int(bounds.get("connIdle", 15_000_000)) / 1e6,
+        streams=max(1, int(bounds.get("streamsPerConn", 100))),
+        sockets=sockets,
+        most_open=min(2_000, int(memory / 40_000), int(bounds.get("openCap", 2_000))),
+        copies=int(min(0.25 * memory, 0.4 * free)),
+        bodies=int(min(16e6, 0.2 * free)),
+        memo=int(min(40_000, 0.15 * free / ENTRY)),
+        buffers=int(0.2 * free),
+        memory=int(memory * 0.15),
+        clients=max(1, sockets // 2),
+        lanes=max(8, sockets - sockets // 2 - SPARE),
+        line=max(LISTS * ROW, int(free / 16)),
+        drain=min(3.0, longest) + 0.4,
+    )
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -171,6 +171,7 @@
         self.answers: Counter[tuple[str, Verdict]] = Counter()  # by class
         self.closing = False  # nothing new is begun: the router is leaving
         self.serial = self.bodies = 0
+        self.heed: Callable[[], None] = lambda: None  # takes in what was told and not read yet
         self._queue: list[Order] = []
         self._busy = False
         self._alarm: asyncio.TimerHandle | None = None
@@ -179,6 +180,7 @@
     # ---- Called by the fronts
     def take(self, request: Request, first: bool = False) -> None:
         """`first` on its connection: it may have been long in coming, so also one that leaves takes it."""
+        self.heed()
         self.serial += 1
         request.key = f"q{self.serial}"
         self.bodies += len(request.body)  # both bound the memory of all open requests together
@@ -214,7 +216,9 @@
 
     # ---- Called by the carrier
     def clear(self, attempt: Attempt) -> bool:
-        """At the write. Guards against a drain, a purge, a cold start or an expiry while it was queued."""
+        """At the write. Guards against a drain, a purge, a cold start or an expiry while it was queued, also
+        against one that was told but waits unread behind the work of this moment."""
+        self.heed()
         if attempt.ended or attempt.request.ended:
             return False
         if not self._permitted(attempt.request):
--- /dev/null
+++ b/onyxpulley/news.py
@@ -0,0 +1,200 @@
+"""What the bulletin's lines mean, and when to call it again: decisions alone, without a socket or a clock."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from onyxpulley import fields
+from onyxpulley.facade import STATES, Member
+
+UID = re.compile(r"[!-+\--~]{1,128}")
+BAD = (ValueError, LookupError, TypeError, AttributeError, ArithmeticError, RecursionError)
+QUIET = 1.5  # seconds without a word, of which one comes each second: another call is made beside that one
+SPREAD = 0.3  # seconds by which that varies: all routers hear the same silence
+DEAD = 2.5  # seconds without a word: the call is over
+PAUSE = 0.1, 0.5  # first and longest mean wait between two calls: what was told meanwhile counts already
+CALLS = 4  # at a time: one may hang while the next ones are begun
+UP = CALLS * PAUSE[1]  # seconds until it is up, and until its first word
+
+
+class BadNews(Exception):
+    """The connection is of no more use: it is asked again for all after the last good event."""
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    full: bool
+    members: Sequence[Member]
+
+
+@dataclass(frozen=True, slots=True)
+class Recall:
+    item: str | None
+    lot: int | None
+    issued: int  # Unix ms
+
+
+Event = Roster | Recall
+
+
+def member(row: dict[str, Any]) -> Member:
+    if row["state"] not in STATES:
+        raise ValueError(f"unknown state {str(row['state'])[:40]!r}")
+    endpoint, weight = str(row["endpoint"]), float(row.get("capacity_hint") or 1.0)
+    host, _, port = endpoint.rpartition(":")
+    if not host:
+        raise ValueError("endpoint without a host")
+    fields.number(port, 1, 65535)
+    if not UID.fullmatch(str(row["uid"])):
+        raise ValueError("an id that no wire can carry")
+    if not math.isfinite(weight):
+        raise ValueError("capacity_hint is no number")
+    return Member(
+        uid=str(row["uid"]),
+        endpoint=endpoint,
+        zone=str(row.get("az") or ""),
+        model=str(row.get("model") or ""),
+        cell=int(row.get("pod_group") or 0),
+        state=str(row["state"]),
+        weight=weight,
+        boot_ms=int(row.get("boot_ms") or 0),
+    )
+
+
+def event(row: dict[str, Any]) -> Event | None:
+    """An event in full, or one of `BAD`. None: of a kind that says nothing to this program."""
+    if "roster" in row:
+        roster = row["roster"]
+        return Roster(bool(roster.get("all", False)), [member(r) for r in roster["targets"]])
+    if "recall" in row:
+        recall = row["recall"]
+        item, lot, issued = recall.get("item"), recall.get("lot"), int(recall["issued"])
+        if item is None and lot is None:
+            raise ValueError("a recall of nothing")
+        return Recall(None if item is None else str(item), None if lot is None else int(lot), issued)
+    return None
+
+
+class Ledger:
+    """Where in the numbered events this router is. A line that cannot be used is asked for once more, since
+    the way may have spoilt it; the second time it is passed over, so that it holds up nothing behind it."""
+
+    def __init__(self, say: Callable[[str], object] = lambda text: None) -> None:
+        self.no, self.say = 0, say
+        self.doubted = -1  # the number after which a line was refused
+        self.skipped = 0
+
+    def read(self, line: bytes) -> Event | None:
+        """The next event; None for what says nothing new. Raises BadNews."""
+        text = line.strip()
+        if not text:
+            return None
+        if text.isdigit():
+            last = int(text[:18])
+            if last > self.no and self.doubted != self.no:
+                self._doubt(f"events after {self.no} up to {last} are missing")
+            return None
+        try:
+            row = json.loads(text)
+            no = int(row["no"])
+        except BAD as problem:
+            self._pass(self.no + 1, problem)
+            return None
+        if no <= self.no:
+            return None
+        if no > self.no + 1 and self.doubted != self.no:
+            self._doubt(f"event {no} is not the next after {self.no}")
+        try:
+            found = event(row)
+        except BAD as problem:
+            self._pass(no, problem)
+            return None
+        self.no = no
+        return found
+
+    def _doubt(self, why: str) -> None:
+        self.doubted = self.no
+        raise BadNews(why[:300])
+
+    def _pass(self, no: int, problem: Exception) -> None:
+        if self.doubted != self.no:
+            self._doubt(f"bad line after {self.no}: {problem!r}")
+        self.say(f"event {no} is passed over, bad again: {problem!r}"[:300])
+        self.no, self.skipped = no, self.skipped + 1
+
+
+@dataclass(slots=True)
+class Call:
+    since: float  # when it was begun, when it came up, or when it last spoke
+    up: bool = False
+    spoke: bool = False
+    trusted: float = 0.0  # until then it needn't say more
+
+    def over(self) -> float:
+        return self.since + (DEAD if self.spoke else UP)
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    begin: bool  # a call
+    end: Sequence[int]  # these calls
+    wake: float  # seconds until the next step, if nothing happens before
+
+
+@dataclass(slots=True)
+class Watch:
+    """When to call, and which calls to end. One that hangs or falls silent is given its time, but another is
+    made beside it meanwhile: what was told while nobody listened may count already. Waits are spread by
+    `luck` in [0, 1), since all routers lose the bulletin in the same moment."""
+
+    luck: Callable[[], float]
+    calls: dict[int, Call] = field(default_factory=dict)
+    pause: float = PAUSE[0]
+    due: float = 0.0  # no call before then
+    serial: int = 0
+
+    def begun(self, now: float) -> int:
+        self.serial += 1
+        self.calls[self.serial] = Call(now)
+        self.due = now + self.pause * (0.5 + self.luck())
+        self.pause = min(PAUSE[1], 2 * self.pause)
+        return self.serial
+
+    def up(self, now: float, key: int) -> None:
+        if key in self.calls:
+            call = self.calls[key]
+            call.since, call.up, call.trusted = now, True, now + QUIET + SPREAD * self.luck()
+
+    def spoke(self, now: float, key: int) -> None:
+        if key in self.calls:
+            self.up(now, key)
+            self.calls[key].spoke = True
+            self.pause = PAUSE[0]
+
+    def ended(self, now: float, key: int) -> None:
+        call = self.calls.pop(key, None)
+        if call is not None and call.spoke:  # else the wait since it was begun is enough
+            self.due = max(self.due, now + self.pause * (0.5 + self.luck()))
+
+    def moved(self) -> None:
+        """To another address: it is called at once."""
+        self.calls.clear()
+        self.pause, self.due = PAUSE[0], 0.0
+
+    def step(self, now: float) -> Step:
+        lively = [k for k, c in self.calls.items() if c.up and now < c.trusted]
+        if lively:
+            best = max(lively, key=lambda k: (self.calls[k].spoke, self.calls[k].since))
+            others = [k for k in self.calls if k != best] if self.calls[best].spoke else []
+            return Step(False, others, max(0.01, self.calls[best].trusted - now))
+        over = [k for k, c in self.calls.items() if now >= c.over()]
+        begin = now >= self.due
+        if begin and len(self.calls) - len(over) >= CALLS:  # the one that hangs for longest makes way
+            over.append(min((k for k in self.calls if k not in over), key=lambda k: self.calls[k].since))
+        wakes = [self.due, *(c.over() for k, c in self.calls.items() if k not in over)]
+        return Step(begin, over, max(0.01, min((w for w in wakes if w > now), default=now) - now))
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -23,6 +23,7 @@
 from onyxpulley.core import Exchange, Verdict, now_us
 from onyxpulley.facade import Facade
 from onyxpulley.listeners import FIRST, Listener, make_room
+from onyxpulley.news import BAD
 from onyxpulley.servers import Servers
 
 if TYPE_CHECKING:
@@ -57,7 +58,10 @@
         self.servers = Servers(conf.limits)
         self.exchange = Exchange(self.facade, self.servers, conf.limits, Copies(conf.limits.copies))
         self.servers.exchange = self.exchange
-        self.bulletin = Bulletin(conf.bulletin, 0, self.facade, self.exchange, self.servers)
+        self.bulletin = Bulletin(
+            conf.bulletin, conf.seed, conf.limits.line, self.facade, self.exchange, self.servers
+        )
+        self.exchange.heed = self.bulletin.heed
         self.clients = Clients(self.exchange, self.facade.classes, conf.limits)
         self.term = asyncio.Event()
         self.fronts: list[Front] = []
@@ -87,11 +91,9 @@
     async def _phases(self) -> int:
         self.enter(Phase.STARTING)
         try:
-            for row in self.conf.known:
-                self.bulletin.event(row)
-        except (KeyError, TypeError, ValueError, AttributeError) as problem:
+            self.bulletin.known(self.conf.known_no, self.conf.known)
+        except BAD as problem:
             raise config.BadConfig(f"known: bad event: {problem!r}") from problem
-        self.bulletin.no = self.conf.known_no
         fronts: list[tuple[Listener, tuple[str, int] | None]]
         fronts = [(self.console, self.conf.console), (self.clients, self.conf.listen)]
         for front, address in fronts:
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -137,15 +137,16 @@
             self.close(Outcome.BROKEN)
 
     async def _batch(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Apart from its task, which would hold on to requests and bytes while it waits."""
-        batch, size, sent = list[bytes](), 0, 0
-        while self.waiting and size < 65_536:
+        """One attempt at the most, with what is to be given up before it. Guards against a server that reads
+        slowly: what waits behind a write is checked when its own first byte can go. Apart from its task,
+        which would hold on to requests and bytes while it waits."""
+        batch, sent = list[bytes](), 0
+        while self.waiting and not sent:
             what = self.waiting.popleft()
             piece = self._encode(what)
             batch.append(piece)
-            size += len(piece)
             sent += bool(piece) and isinstance(what, Attempt)
-        if size:
+        if any(batch):
             await loop.sock_sendall(self.sock, b"".join(batch))
             self.pool.servers.forwards += sent
 
