Never take the number of the last event for that event: the drain behind it was dropped

An object without roster or recall went through `event`, which said nothing of it and set `self.no`: named one ahead of what this router had, the number swallowed the event. Two ahead ended the connection instead.

Change: an object with nothing but `no` is a number, wherever it stands. Where the next number finds the same event missing, it is asked for once.

--- a/onyxpulley/news.py
+++ b/onyxpulley/news.py
@@ -87,6 +87,7 @@
     def __init__(self, say: Callable[[str], object] = lambda text: None) -> None:
         self.no, self.say = 0, say
         self.doubted = -1  # the number after which a line was refused
+        self.ahead = -1  # the number after which events were missing when the last was named
         self.skipped = 0
 
     def read(self, line: bytes) -> Event | None:
@@ -94,17 +95,16 @@
         text = line.strip()
         if not text:
             return None
-        if text.isdigit():
-            last = int(text[:18])
-            if last > self.no and self.doubted != self.no:
-                self._doubt(f"events after {self.no} up to {last} are missing")
-            return None
         try:
             row = json.loads(text)
-            no = int(row["no"])
+            bare = isinstance(row, int) or row.keys() == {"no"}
+            no = int(row if isinstance(row, int) else row["no"])
         except BAD as problem:
             self._pass(self.no + 1, problem)
             return None
+        if bare:
+            self._last(no)
+            return None
         if no <= self.no:
             return None
         if no > self.no + 1 and self.doubted != self.no:
@@ -117,6 +117,16 @@
         self.no = no
         return found
 
+    def _last(self, no: int) -> None:
+        """The number alone: which event is the last, and never an event itself. It may be ahead of one that
+        is on its way; where the next number finds the same one missing, it is asked for."""
+        if no <= self.no:
+            self.ahead = -1
+        elif self.ahead != self.no:
+            self.ahead = self.no
+        elif self.doubted != self.no:
+            self._doubt(f"events after {self.no} up to {no} are missing")
+
     def _doubt(self, why: str) -> None:
         self.doubted = self.no
         raise BadNews(why[:300])
