Let connections to servers go over a wire that says whether new work may go on it

Need: identities of boxes must hold before the first byte of a request and again at each write, and the line protocol should know nothing of TLS. Change: `wires.Trust` secures a new connection (on the platform `Listed`, which takes it as it is); a lane asks its `Wire` before it is chosen and at each write; what was queued on one that no longer holds goes to another connection, once, since nothing of it was sent. No behaviour changes where the list is trusted.

--- a/onyxpulley/admin.py
+++ b/onyxpulley/admin.py
@@ -13,9 +13,10 @@
 from http import HTTPStatus
 from typing import Any
 
-from onyxpulley.http import Call, Connection, Plain, Response, told
+from onyxpulley.http import Call, Connection, Response, told
 from onyxpulley.identity import BadIdentity, Source, Tls, valid_until
 from onyxpulley.tenants import BadTenant, Tenant, Tenants, add_key, read_key, read_tenant
+from onyxpulley.wires import Plain
 
 BODY = 65_536
 ROLES = ("read", "write")
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -5,18 +5,18 @@
 import asyncio
 import contextlib
 import json
-import socket
 import sys
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Any
 
 import httptools
 
 from onyxpulley.core import now_us
 from onyxpulley.listeners import SILENT
+from onyxpulley.wires import Stream
 
 URL = 8_192
 HEADERS = 16_384
@@ -26,29 +26,6 @@
 WHOLE = 5.0  # seconds in which a request is whole, from its first byte; the first one from connecting
 
 
-class Stream(Protocol):
-    """A connection, plain or under TLS."""
-
-    async def receive_into(self, room: memoryview) -> int: ...
-    async def send_all(self, data: bytes) -> None: ...
-    def close(self) -> None: ...
-
-
-class Plain:
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock, self.loop = sock, asyncio.get_running_loop()
-
-    async def receive_into(self, room: memoryview) -> int:
-        return await self.loop.sock_recv_into(self.sock, room)
-
-    async def send_all(self, data: bytes) -> None:
-        await self.loop.sock_sendall(self.sock, data)
-
-    def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self.sock.close()
-
-
 @dataclass(slots=True)
 class Call:
     """One HTTP request, whole. `arrived`: when its last byte came."""
--- a/onyxpulley/identity.py
+++ b/onyxpulley/identity.py
@@ -15,7 +15,7 @@
 from cryptography.hazmat.primitives.serialization import Encoding
 from cryptography.x509.oid import ExtensionOID
 
-from onyxpulley.http import Stream
+from onyxpulley.wires import Stream
 
 CHUNK = 16_384
 HANDSHAKE = 5.0
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -12,6 +12,7 @@
 from onyxpulley import fields
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Attempt, Exchange, Outcome, Report, now_us
+from onyxpulley.wires import Listed, Trust, Wire
 
 if TYPE_CHECKING:
     from onyxpulley.config import Limits
@@ -45,6 +46,7 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.wire: Wire | None = None
         self.buffer = Buffer(16_384, LONGEST + 2 * LINE)
         self.out: dict[str, Attempt] = {}
         self.waiting: deque[Attempt | bytes] = deque()
@@ -57,13 +59,21 @@
 
     def fit(self, now: int, silence: int, idle: int) -> bool:
         """May it take new work? Not while what is out there goes unanswered, nor when it may idle out."""
-        if self.closed or self.stuck or (self.out and now - max(self.heard, self.used_first()) > silence):
+        if (
+            self.closed
+            or self.stuck
+            or not self.takes()
+            or (self.out and now - max(self.heard, self.used_first()) > silence)
+        ):
             return False
         return bool(self.out or self.waiting) or now - self.used < idle
 
     def used_first(self) -> int:
         return next(iter(self.out.values())).begun
 
+    def takes(self) -> bool:
+        return self.wire is None or self.wire.takes()
+
     def load(self) -> int:
         return len(self.out) + len(self.waiting)
 
@@ -108,13 +118,14 @@
             try:
                 async with asyncio.timeout(self.pool.limits.connect_timeout):
                     await loop.sock_connect(self.sock, self.pool.address)
+                self.wire = wire = await self.pool.servers.trust.secure(self.pool.uid, self.sock)
             except (OSError, TimeoutError):
                 why = Outcome.UNREACHABLE
                 return
             self.up, self.heard = True, now_us()
-            self.tasks.add(asyncio.create_task(self._write(loop)))
+            self.tasks.add(asyncio.create_task(self._write(wire)))
             while True:
-                got = await loop.sock_recv_into(self.sock, self.buffer.room())
+                got = await wire.receive_into(self.buffer.room())
                 if not got:
                     return
                 self.heard, self.stuck = now_us(), False
@@ -126,17 +137,17 @@
         finally:
             self.close(why)
 
-    async def _write(self, loop: asyncio.AbstractEventLoop) -> None:
+    async def _write(self, wire: Wire) -> None:
         try:
             while not self.closed:
                 await self.wake.wait()
                 self.wake.clear()
                 while self.waiting:
-                    await self._batch(loop)
+                    await self._batch(wire)
         except OSError:
             self.close(Outcome.BROKEN)
 
-    async def _batch(self, loop: asyncio.AbstractEventLoop) -> None:
+    async def _batch(self, wire: Wire) -> None:
         """One attempt at the most, with what is to be given up before it. Guards against a server that reads
         slowly: what waits behind a write is checked when its own first byte can go. Apart from its task,
         which would hold on to requests and bytes while it waits."""
@@ -147,13 +158,16 @@
             batch.append(piece)
             sent += bool(piece) and isinstance(what, Attempt)
         if any(batch):
-            await loop.sock_sendall(self.sock, b"".join(batch))
+            await wire.send_all(b"".join(batch))
             self.pool.servers.forwards += sent
 
     def _encode(self, what: Attempt | bytes) -> bytes:
         """The rules are checked once more here, at the write."""
         if isinstance(what, bytes):
             return what
+        if not self.takes():  # who the server was shown to be no longer holds: another one is made, or none
+            self.pool.again(what, Outcome.BROKEN)
+            return b""
         if not self.pool.exchange.clear(what):
             return b""
         request = what.request
@@ -237,6 +251,7 @@
         self.tasks.clear()
         self.buffer = Buffer(0, 0)
         self.sock.close()
+        self.wire = None
         out, waiting = list(self.out.values()), list(self.waiting)
         self.out.clear()
         self.waiting.clear()
@@ -314,6 +329,7 @@
         self.limits = limits
         self.exchange: Exchange
         self.ending = False
+        self.trust: Trust = Listed()
         self.pools: dict[str, Pool] = {}
         self.retired: list[Pool] = []
         self.forwards = 0  # attempts written whole
@@ -373,8 +389,10 @@
         for pool in (*self.pools.values(), *self.retired):
             for lane in list(pool.lanes):
                 lane.check()
+                if lane.wire is not None and lane.wire.over():
+                    lane.close(Outcome.BROKEN)
                 if not lane.closed and not lane.load() and lane.up:
-                    gone = pool in self.retired
+                    gone = pool in self.retired or not lane.takes()
                     if gone or now - lane.used > self.limits.idle * 0.9e6:
                         lane.close(Outcome.BROKEN)
         self.retired = [pool for pool in self.retired if pool.lanes]
--- a/onyxpulley/signed.py
+++ b/onyxpulley/signed.py
@@ -18,8 +18,9 @@
 
 from onyxpulley import fields
 from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
-from onyxpulley.http import Call, Connection, Plain, Response, told
+from onyxpulley.http import Call, Connection, Response, told
 from onyxpulley.tenants import Denied, Tenant, Tenants, split_package
+from onyxpulley.wires import Plain
 
 if TYPE_CHECKING:
     import socket
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -18,6 +18,7 @@
 from onyxpulley.facade import Facade
 from onyxpulley.news import CALLS, DEAD, BadNews, Ledger, Recall, Roster, Watch, event
 from onyxpulley.servers import Servers
+from onyxpulley.wires import Plain
 
 from .player import SETTINGS
 
@@ -241,14 +242,14 @@
             lane = rig.servers.pools["c0"].lanes[0]
             assert list(lane.waiting) == [first, second]
 
-            class Slow:
-                async def sock_sendall(self, sock: socket.socket, data: bytes) -> None:
+            class Slow(Plain):
+                async def send_all(self, data: bytes) -> None:
                     sent.append(data)
                     rig.bulletin.apply(event(roster(2, {"c0": "Terminating"})))
 
-            await lane._batch(Slow())  # type: ignore[arg-type]
+            await lane._batch(Slow(lane.sock))
             assert first.written and not second.ended
-            await lane._batch(Slow())  # type: ignore[arg-type]
+            await lane._batch(Slow(lane.sock))
             assert not second.written and second.ended
             rig.servers.close()
             await asyncio.sleep(0)
