Know servers and callers by SPIFFE identities: Workload API, mutual TLS, rotation, revocation

Change: package `onyxpulley/spiffe`. Decisions free of I/O: names, chains and bundles, what is held and until when, who is expected where, what becomes of open connections, when the agent is called again. On sockets: the Workload API by gRPC, TLS for both sides by pyOpenSSL, files. Every connection to a server is verified before a byte of a request, with the bundle of the peer's own trust domain, and again at each write; a peer that is not who it should be counts as unreachable, so the decision module learns nothing new. The signed front lets in named callers; the administration API uses the same identities in place of its own.

Shown, with a stand-in issuer and boxes on loopback: no byte of a request at a box with another id, authority, two or no names, no path, no key usage, expired or not yet valid; rotation of SVID and bundle within an answer; an entry taken away; revoked while it drains; an address that passes to another box; an issuer silent until after the end; a bundle that rolls over; a stream cut, babbling or empty; convert-job at a box that loses its trust runs once. An old connection takes nothing new.

--- a/onyxpulley/admin.py
+++ b/onyxpulley/admin.py
@@ -8,43 +8,40 @@
 import json
 import socket
 import sys
-import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from onyxpulley.http import Call, Connection, Response, told
-from onyxpulley.identity import BadIdentity, Source, Tls, valid_until
+from onyxpulley.spiffe.peers import Standing
 from onyxpulley.tenants import BadTenant, Tenant, Tenants, add_key, read_key, read_tenant
-from onyxpulley.wires import Plain
+
+if TYPE_CHECKING:
+    from onyxpulley.spiffe.trust import Keeper
 
 BODY = 65_536
 ROLES = ("read", "write")
+ANYONE = ("spiffe://*",)  # who may do what is told to a caller that is genuine: 403
 
 
 class Admin:
     def __init__(
-        self, tenants: Tenants, source: Source, allow: dict[str, str], status: Callable[[], dict[str, Any]]
+        self, tenants: Tenants, keeper: Keeper, allow: dict[str, str], status: Callable[[], dict[str, Any]]
     ) -> None:
-        self.tenants, self.source, self.allow, self.status = tenants, source, allow, status
+        self.tenants, self.keeper, self.allow, self.status = tenants, keeper, allow, status
 
     async def connection(self, sock: socket.socket) -> Connection | None:
         """The TLS handshake. None where the peer has no business here; nothing is told to it."""
-        plain = Plain(sock)
-        generation = self.source.generation
         try:
-            tls = Tls(plain, self.source.context)
-            der = await tls.handshake()
-            peer, end = self.source.peer(der), valid_until(der)
-        except (OSError, TimeoutError, BadIdentity) as problem:
-            print(f"admin: turned away: {type(problem).__name__}", file=sys.stderr, flush=True)
-            plain.close()
+            tls, bond = await self.keeper.accept(sock, ANYONE)
+        except OSError:
             return None
 
         async def handle(call: Call) -> Response:
-            if generation != self.source.generation or time.time() >= end:  # the peer must show itself anew
+            if self.keeper.standing(bond) is not Standing.GOOD:  # the peer must show itself anew
                 call.keep = False
                 return told(HTTPStatus.UNAUTHORIZED, {"error": "identities were rotated, connect again"})
+            peer = str(bond.chain.id)
             return self.handle(peer, call)
 
         handler: Callable[[Call], Awaitable[Response]] = handle
--- a/onyxpulley/operator.py
+++ b/onyxpulley/operator.py
@@ -9,7 +9,10 @@
 
 from onyxpulley.admin import ROLES
 from onyxpulley.config import BadConfig, address
-from onyxpulley.identity import BadIdentity, Files, domain_of
+from onyxpulley.spiffe.ids import BadIdentity, read_domain, read_id
+from onyxpulley.spiffe.peers import Expectations, Rules, read_callers
+from onyxpulley.spiffe.setup import Setup
+from onyxpulley.spiffe.sources import Files
 from onyxpulley.tenants import BadTenant, Tenants, read_tenant
 
 
@@ -20,8 +23,8 @@
     public: str
     boxes: frozenset[str]  # the servers that want signatures
     admin: tuple[str, int] | None
-    files: Files | None
     allow: dict[str, str]
+    identities: Setup | None
 
 
 def load(path: Path) -> Operator:
@@ -48,7 +51,7 @@
 
 
 def _read(table: dict[str, Any], folder: Path) -> Operator:
-    only(table, "operator's file", "signed", "admin", "tenants")
+    only(table, "operator's file", "signed", "admin", "tenants", "identities")
     tenants = Tenants()
     for row in table.get("tenants", []):
         if row.get("name") in tenants.all:
@@ -58,24 +61,86 @@
     admin = only(
         table.get("admin", {}), "admin", "listen", "certificate", "key", "bundle", "trust_domain", "allow"
     )
+    identities = _identities(table.get("identities"), folder)
+    if admin and identities is None:  # its own files are all that it needs
+        names = ("trust_domain", "certificate", "key", "bundle")
+        identities = _identities({name: admin[name] for name in names}, folder)
+    elif admin and set(admin) & {"certificate", "key", "bundle", "trust_domain"}:
+        raise BadConfig("admin: certificate, key, bundle and trust_domain stand in [identities] alone")
     allow: dict[str, str] = {}
     for row in admin.get("allow", []):
         only(row, "admin.allow", "id", "role")
         if row["role"] not in ROLES:
             raise BadConfig(f"admin.allow: role is one of {', '.join(ROLES)}")
-        if domain_of(row["id"]) != admin["trust_domain"]:
-            raise BadConfig(f"admin.allow: {row['id']} is of another trust domain")
+        caller = read_id(row["id"], "admin.allow")
+        assert identities is not None
+        if caller.domain not in {
+            identities.domain,
+            *(identities.files.federated if identities.files else ()),
+        }:
+            raise BadConfig(f"admin.allow: {row['id']} is of a trust domain that is not named")
         allow[row["id"]] = row["role"]
-    files = None
-    if admin:
-        paths = [folder / admin[name] for name in ("certificate", "key", "bundle")]
-        files = Files(paths[0], paths[1], paths[2], admin["trust_domain"])
     return Operator(
         tenants,
         address(signed["listen"], "signed.listen") if signed else None,
         str(signed["public"]) if signed else "",
         frozenset(signed.get("signature_boxes", [])),
         address(admin["listen"], "admin.listen") if admin else None,
-        files,
         allow,
+        identities,
+    )
+
+
+def _seconds(table: dict[str, Any], name: str, usual: float, most: float = 1e9) -> float:
+    value = table.get(name, usual)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= most:
+        raise BadConfig(f"identities: {name} is a number of seconds up to {most:g}")
+    return float(value)
+
+
+def _identities(table: dict[str, Any] | None, folder: Path) -> Setup | None:
+    if table is None:
+        return None
+    what = "identities"
+    only(
+        table, what, "trust_domain", "workload_api", "hint", "certificate", "key", "bundle", "federated",
+        "skew_s", "servers", "callers",
+    )  # fmt: skip
+    domain = read_domain(table["trust_domain"], f"{what}.trust_domain")
+    agent = str(table.get("workload_api", ""))
+    files = None
+    if bool(agent) == ("certificate" in table):
+        raise BadConfig(f"{what}: either workload_api, or certificate, key and bundle")
+    if agent:
+        if not agent.startswith("unix:"):
+            address(agent, f"{what}.workload_api")
+        if "federated" in table:
+            raise BadConfig(f"{what}: federated bundles come from the Workload API")
+    else:
+        paths = [folder / table[name] for name in ("certificate", "key", "bundle")]
+        federated = table.get("federated", {})
+        other = {read_domain(n, f"{what}.federated"): folder / path for n, path in federated.items()}
+        if domain in other:
+            raise BadConfig(f"{what}.federated: {domain} is the own trust domain")
+        files = Files(paths[0], paths[1], paths[2], domain, other)
+    servers = only(
+        table.get("servers", {}), f"{what}.servers", "expect", "entries", "renew_after_s", "end_after_s"
+    )
+    expect, entries = str(servers.get("expect", "")), servers.get("entries")
+    if servers and not (expect or entries):
+        raise BadConfig(f"{what}.servers: expect, or entries, or both")
+    Expectations(expect)  # a bad template is said here
+    rules = Rules(_seconds(servers, "renew_after_s", 3600.0), _seconds(servers, "end_after_s", 3.0, 60.0))
+    callers = table.get("callers")
+    return Setup(
+        domain,
+        files,
+        agent,
+        bool(servers),
+        expect,
+        folder / entries if entries else None,
+        rules,
+        read_callers(callers, f"{what}.callers") if callers is not None else None,
+        str(table.get("hint", "")),
+        _seconds(table, "skew_s", 0.0, 300.0),
     )
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import os
+import random
 import signal
 import sys
 import time
@@ -31,6 +32,7 @@
 
     from onyxpulley.http import Connection
     from onyxpulley.operator import Operator
+    from onyxpulley.spiffe.trust import Keeper
 
 LINGER = 0.8  # seconds after SIGTERM or PAUSE in which new connections may still come
 REFUSE = 1.8  # seconds after which clients that still ask on their connection are refused
@@ -70,13 +72,18 @@
         self.reloads = {"applied": 0, "rejected": 0}
         self.clients.beside = lambda: sum(len(front.tasks) for front in self.fronts)
         self.clients.others = lambda: [c for f in self.fronts if f.public for c in f.all]
-        self.watch: list[Callable[[], object]] = []
+        self.keeper: Keeper | None = None  # of identities, where the operator's file has some
+        self.tasks: list[asyncio.Task[None]] = []
 
     def enter(self, phase: Phase) -> None:
         self.phase = phase
-        self.clients.fit = phase is Phase.SERVING
+        self.clients.fit = self.fit()
         print(f"{self.conf.name}: {phase.value}", file=sys.stderr, flush=True)
 
+    def fit(self) -> bool:
+        """Takes new work: serving, and able to show the servers who it is."""
+        return self.phase is Phase.SERVING and (self.keeper is None or self.keeper.ready())
+
     async def run(self) -> int:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.term.set)
@@ -104,6 +111,7 @@
                 raise config.BadConfig(f"cannot listen on {address}: {problem}") from problem
         self._operated()
         tasks = [
+            *self.tasks,
             *([asyncio.create_task(self.console.accept())] if self.conf.console else []),
             *(asyncio.create_task(front.accept()) for front in self.fronts),
             asyncio.create_task(self.bulletin.follow()),
@@ -182,6 +190,7 @@
             ("ejected", avoided, "g"),
             ("sighup_applied", self.reloads["applied"], "c"),
             ("sighup_rejected", self.reloads["rejected"], "c"),
+            *(self.keeper.figures() if self.keeper is not None else ()),
         ]
 
     def _retreat(self) -> None:
@@ -206,27 +215,47 @@
         if self.operator is None:
             return
         from onyxpulley.admin import Admin
-        from onyxpulley.identity import BadIdentity, Source
         from onyxpulley.signed import Signed
+        from onyxpulley.spiffe.ids import BadIdentity
 
         operator = self.operator
         try:
+            self._identified(operator)
             if operator.listen is not None:
                 signed = Signed(
                     operator.public, operator.tenants, self.exchange, self.facade, bool(operator.boxes)
                 )
+                callers = operator.identities.callers if operator.identities is not None else None
+                if callers is not None and self.keeper is not None:
+                    signed.keeper, signed.callers = self.keeper, callers
                 self.fronts.append(Front(operator.listen, signed.connection, self.clients, public=True))
                 signed.fit = lambda: self.clients.fit
                 signed.leaving = lambda: self.clients.leaving
-            if operator.admin is not None and operator.files is not None:
-                source = Source(operator.files)
-                admin = Admin(operator.tenants, source, operator.allow, self.status)
+            if operator.admin is not None and self.keeper is not None:
+                admin = Admin(operator.tenants, self.keeper, operator.allow, self.status)
                 self.fronts.append(Front(operator.admin, admin.connection, self.clients))
-                self.watch.append(source.reload)
         except (OSError, BadIdentity) as problem:
             what = "cannot listen" if isinstance(problem, OSError) else "identity"
             raise config.BadConfig(f"operator's file: {what}: {problem}") from problem
 
+    def _identified(self, operator: Operator) -> None:
+        """Who this router is and whom it trusts. Raises BadIdentity."""
+        if operator.identities is None:
+            return
+        from onyxpulley.spiffe.trust import Keeper
+
+        setup = operator.identities
+        self.keeper = keeper = Keeper(setup)
+        if setup.servers:
+            self.servers.trust = keeper
+        if setup.agent:
+            from onyxpulley.spiffe.pace import Pace
+            from onyxpulley.spiffe.workload import Agent
+
+            luck = random.Random(self.conf.seed).random
+            keeper.agent = Agent(setup.agent, Pace(luck), keeper.take, keeper.left, keeper.say)
+            self.tasks.append(asyncio.create_task(keeper.agent.follow()))
+
     def status(self) -> dict[str, Any]:
         return {
             "name": self.conf.name,
@@ -244,6 +273,9 @@
     async def _sweep(self) -> None:
         for no in itertools.count():
             await asyncio.sleep(SWEEP)
+            if self.keeper is not None:
+                self.keeper.tick()
+                self.clients.fit = self.fit()
             self.servers.sweep()
             self.clients.sweep()
             self.console.sweep()
@@ -251,8 +283,6 @@
             if no % 5 == 0:
                 for front in self.fronts:
                     front.sweep()
-                for step in self.watch:
-                    step()
 
     async def _drain(self) -> None:
         self.since = start = time.monotonic()
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -250,8 +250,10 @@
                 task.cancel()
         self.tasks.clear()
         self.buffer = Buffer(0, 0)
+        if self.wire is not None:
+            self.wire.close()
+            self.wire = None
         self.sock.close()
-        self.wire = None
         out, waiting = list(self.out.values()), list(self.waiting)
         self.out.clear()
         self.waiting.clear()
--- a/onyxpulley/signed.py
+++ b/onyxpulley/signed.py
@@ -12,6 +12,7 @@
 import secrets
 import time
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl
@@ -19,6 +20,7 @@
 from onyxpulley import fields
 from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
 from onyxpulley.http import Call, Connection, Response, told
+from onyxpulley.spiffe.peers import Standing
 from onyxpulley.tenants import Denied, Tenant, Tenants, split_package
 from onyxpulley.wires import Plain
 
@@ -26,6 +28,8 @@
     import socket
 
     from onyxpulley.facade import Facade
+    from onyxpulley.spiffe.peers import Bond
+    from onyxpulley.spiffe.trust import Keeper
 
 BODY = 48_000
 PATH = re.compile(r"/v1/([a-z0-9-]{1,63})/([A-Za-z0-9_-]{1,64})/([0-9a-f]{16})/(\d{1,9})")
@@ -42,12 +46,30 @@
         self.exchange, self.facade, self.forward = exchange, facade, forward
         self.fit: Callable[[], bool] = lambda: True  # takes new work; asked each time, a drain counts at once
         self.leaving: Callable[[], bool] = lambda: False  # callers are to go elsewhere
-
-    def connection(self, sock: socket.socket) -> Connection:
-        connection = Connection(Plain(sock), self.handle, BODY)
+        self.keeper: Keeper | None = None  # of identities, where callers show theirs
+        self.callers: tuple[str, ...] = ()
+
+    async def connection(self, sock: socket.socket) -> Connection | None:
+        """Plain, or under mutual TLS where the operator's file names callers."""
+        if self.keeper is None:
+            connection = Connection(Plain(sock), self.handle, BODY)
+        else:
+            try:
+                tls, bond = await self.keeper.accept(sock, self.callers)
+            except OSError:
+                return None
+            connection = Connection(tls, partial(self._known, bond), BODY)
         connection.leaving = self.leaving
         return connection
 
+    async def _known(self, bond: Bond, call: Call) -> Response:
+        """A request of a caller that showed who it is: as long as that holds."""
+        assert self.keeper is not None
+        if self.keeper.standing(bond) is not Standing.GOOD:
+            call.keep = False
+            return told(HTTPStatus.UNAUTHORIZED, {"error": "connect again", "ran": "no"})
+        return await self.handle(call)
+
     async def handle(self, call: Call) -> Response:
         if call.target == "/health":
             fit = self.fit()
--- a/tests/player.py
+++ b/tests/player.py
@@ -148,7 +148,7 @@
     async def start(self, servers: list[str]) -> None:
         for name in ["b", *servers]:
             party = self.parties[name] = Party()
-            party.server = await asyncio.start_server(party.read, "127.0.0.1", 0)
+            party.server = await asyncio.start_server(party.read, "127.0.0.1", 0, ssl=self.guard(name))
         for _ in range(5):  # another process may have taken a port meanwhile
             self.launch(servers)
             while "serving" not in self.log.read_text() and self.process.poll() is None:
@@ -160,6 +160,10 @@
         await self.expect("b", '"after 1\\n"')
         self.tasks.add(asyncio.create_task(self.beat()))
 
+    def guard(self, name: str) -> ssl.SSLContext | None:
+        """Under what a server speaks TLS, if it does."""
+        return None
+
     def launch(self, servers: list[str]) -> None:
         config = {
             "name": "n0",
@@ -240,7 +244,7 @@
         if name not in self.parties:
             party = self.parties[name] = Party()
             kind = name[0]
-            tls = self.tls(name) if kind == "a" else None
+            tls = self.tls(name) if self.tls and kind in "ah" else None
             reader, writer = await asyncio.open_connection(
                 "127.0.0.1", self.ports[kind], ssl=tls, server_hostname="onyxpulley" if tls else None
             )
--- /dev/null
+++ b/tests/test_identities.py
@@ -0,0 +1,322 @@
+"""The program among verified boxes: a stand-in issuer, boxes under TLS, and what can go wrong there."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from onyxpulley import operator as operators
+from onyxpulley.config import BadConfig
+
+from .issuer import AgentStandIn, Domain, answer, response
+from .player import PATIENCE, Play, read_cases
+
+FOLDER = Path(__file__).parent / "exchanges"
+CASES = read_cases(FOLDER / "identities.txt")
+OPERATOR = """
+[identities]
+trust_domain = "letra.example"
+workload_api = "127.0.0.1:{port}"
+callers = ["spiffe://letra.example/staff/*"]
+[identities.servers]
+expect = "spiffe://letra.example/box/{{id}}"
+entries = "boxes.toml"
+renew_after_s = {renew}
+end_after_s = 0.1
+"""
+
+
+FAULT = ("until", "since", "usage")
+
+
+class Guarded(Play):
+    """A play whose servers show SVIDs. More steps: `ID shows PATH [FAULT=SECONDS …] [by next|stray|between]`,
+    `ID also NAME` (a second name of that address), `entries ID …` (with `- SPIFFE_ID` revoked), `agent tells
+    [FAULT=SECONDS …] [of both|next] [without ID]`, `agent stops|starts|cuts|babbles`, `soon log has TEXT`."""
+
+    def __init__(self, folder: Path, renew: float = 600.0) -> None:
+        super().__init__(folder)
+        self.home, self.next, self.stray = Domain(), Domain(), Domain()
+        self.between = Domain(above=self.home)
+        self.agent, self.renew = AgentStandIn(), renew
+        self.contexts: dict[str, ssl.SSLContext] = {}
+        self.more = ""
+
+    def guard(self, name: str) -> ssl.SSLContext | None:
+        if name == "b":
+            return None
+        context = self.contexts[name] = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.verify_mode = ssl.CERT_REQUIRED
+        for domain in (self.home, self.next):
+            domain.write_bundle(self.folder / "ca.pem")
+            context.load_verify_locations(self.folder / "ca.pem")
+        self.show(name, f"/box/{name}", self.home, {})
+        return context
+
+    def show(self, name: str, path: str, domain: Domain, faults: dict[str, Any]) -> None:
+        uris = [f"spiffe://letra.example{p}" for p in path.replace("~", "").split(",") if p != "-"]
+        file = domain.write(self.folder, f"{name}-box", *uris, **faults)
+        self.contexts[name].load_cert_chain(file, file.with_suffix(".key"))
+
+    def caller(self, name: str) -> ssl.SSLContext:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.check_hostname, context.verify_mode = False, ssl.CERT_NONE  # it is the router that looks
+        who = {"h1": (self.home, "staff/ana"), "h2": (self.home, "guest"), "h3": (self.stray, "staff/ana")}
+        if name in who:
+            domain, path = who[name]
+            file = domain.write(self.folder, name, f"spiffe://letra.example/{path}")
+            context.load_cert_chain(file, file.with_suffix(".key"))
+        return context
+
+    def entries(self, names: list[str]) -> None:
+        boxes, _, revoked = " ".join(names).partition(" - ")
+        text = "revoked = [" + ", ".join(f'"{r}"' for r in revoked.split()) + "]\n[boxes]\n"
+        (self.folder / "boxes.new").write_text(text + "".join(f'{uid} = ""\n' for uid in boxes.split()))
+        (self.folder / "boxes.new").rename(self.folder / "boxes.toml")
+
+    async def start(self, servers: list[str]) -> None:
+        self.entries(servers)
+        await self.agent.start()
+        self.agent.tell(answer(self.home))
+        self.operator = self.more + OPERATOR.format(port=self.agent.port, renew=self.renew)
+        await super().start(servers)
+        await self.soon("agent reloaded: own SVID spiffe://letra.example/router")
+        await self.soon("own SVID: good")
+
+    async def soon(self, text: str) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while text not in self.log.read_text():
+                await asyncio.sleep(0.02)
+
+    async def listening(self) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not self.agent.queues:
+                await asyncio.sleep(0.02)
+
+    async def run(self, lines: list[str]) -> None:
+        try:
+            await super().run(lines)
+        finally:
+            await self.agent.stop()
+
+    async def step(self, line: str) -> None:
+        words = line.split()
+        known = [w.partition("=") for w in words if w.split("=")[0] in FAULT and "=" in w]
+        faults: dict[str, Any] = {name: float(value) for name, _, value in known}
+        if line.startswith("soon log has "):
+            await self.soon(line.removeprefix("soon log has "))
+        elif line.endswith("turned away"):
+            with pytest.raises((OSError, AssertionError)):
+                await self.send(words[0], "GET /health")
+                await self.expect(words[0], "200")
+            self.parties.pop(words[0], None)
+        elif words[0] == "entries":
+            self.entries(words[1:])
+            await self.soon("entries reloaded")
+        elif words[0] == "agent" and words[1] == "tells":
+            domain = self.next if words[-1] == "next" else self.home
+            message = answer(domain, **faults)
+            if words[-1] == "both":
+                message.svids[0].bundle = (
+                    answer(self.home).svids[0].bundle + answer(self.next).svids[0].bundle
+                )
+            before = self.log.read_text().count("agent reloaded")
+            self.agent.tell(message)
+            async with asyncio.timeout(PATIENCE):
+                while self.log.read_text().count("agent reloaded") == before:
+                    await asyncio.sleep(0.02)
+        elif words[0] == "agent":
+            match words[1]:
+                case "stops":
+                    await self.agent.stop()
+                case "starts":
+                    self.agent.now = answer(self.home)
+                    await self.agent.start()
+                case "cuts":
+                    self.agent.cut()
+                case "babbles" | "empties" if not self.agent.queues:
+                    await self.listening()
+                    await self.step(line)
+                case "babbles":
+                    self.agent.tell(answer(self.home).SerializeToString()[:-40])
+                    self.agent.now = answer(self.home)
+                case "empties":
+                    self.agent.tell(response([], b""))
+                    self.agent.now = answer(self.home)
+        elif len(words) > 1 and words[1] == "shows":
+            by = getattr(self, words[-1]) if words[-2] == "by" else self.home
+            self.show(words[0], words[2], by, faults)
+        elif len(words) > 1 and words[1] == "also":
+            self.parties[words[2]] = self.parties[words[0]]
+        else:
+            await super().step(line)
+
+
+@pytest.mark.parametrize("lines", [pytest.param(lines, id=name) for name, lines in CASES])
+def test_identities(lines: list[str], tmp_path: Path) -> None:
+    renew = float(lines[0].partition("renew ")[2] or 600)
+
+    async def play() -> None:
+        await Guarded(tmp_path, renew).run([lines[0].partition(" renew ")[0], *lines[1:]])
+
+    asyncio.run(play())
+
+
+ASK = "c1 > ASK 1 page-file txn=9b1f03aa5c7e2d41,limit=4000,item=7f3a9c21e0b4d655,part=0,group=1,ram=40"
+PAGE = "cls=page-file,item=7f3a9c21e0b4d655,chunk=0,limit={n}"
+TAKEN = f"p0 < fetch 9b1f03aa5c7e2d41 {PAGE},handle=wait-for 0\\r\\n"
+FAULTS = {
+    "another box": ("/box/c1", "other identity"),
+    "another authority": ("/box/c0 by stray", "untrusted"),
+    "expired": ("/box/c0 until=-5", "expired"),
+    "not yet valid": ("/box/c0 since=120", "not yet valid"),
+    "two names": ("/box/c0,/box/c1", "2 URI names"),
+    "no name": ("-", "no readable names"),
+    "no path": ("~", "has a path"),
+    "no key usage": ("/box/c0 usage=0", "key usage is missing"),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_no_byte_of_a_request_reaches_a_box_that_is_not_the_one_expected(fault: str, tmp_path: Path) -> None:
+    """Whoever takes part must have read everything that it got: the box at c0 got nothing."""
+    shown, said = FAULTS[fault]
+    lines = [
+        "servers c0 p0 o",
+        f"c0 shows {shown}",
+        ASK,
+        TAKEN,
+        "p0 > 9b1f03aa5c7e2d41 data version=aa 2\\r\\nok",
+        "c1 < 1 good have=aa ok",
+        "log has identity: server c0 refused: ",
+        f"log has {said}",
+        "log lacks PRIVATE",
+    ]
+    asyncio.run(Guarded(tmp_path).run(lines))
+
+
+def test_a_job_at_a_box_that_loses_its_trust_runs_once_and_is_a_failure(tmp_path: Path) -> None:
+    job = "cls=convert-job,item=7f3a9c21e0b4d655,chunk=0,limit={n} 4\\r\\nwork"
+    lines = [
+        "servers c0 p0 o",
+        ASK.replace("page-file", "convert-job").replace("ram=40", "ram=4 work"),
+        f"o < fetch 9b1f03aa5c7e2d41 {job}",
+        "entries c0 p0",
+        'c1 < "*4\\r\\n$1\\r\\n1\\r\\n$6\\r\\nbroken\\r\\n$0\\r\\n\\r\\n$0\\r\\n\\r\\n"',
+        "wait 0.3",
+        "log has server o spiffe://letra.example/box/o is no longer trusted: not listed",
+    ]
+    asyncio.run(Guarded(tmp_path).run(lines))
+
+
+def test_sessions_are_resumed_and_judged_anew(tmp_path: Path) -> None:
+    """Every answered request's connection is closed by the box, so the next one resumes."""
+
+    async def play() -> None:
+        rig = Guarded(tmp_path)
+        await rig.run(
+            [
+                "servers c0 p0 o",
+                *(
+                    step
+                    for no in range(3)
+                    for step in (
+                        ASK.replace("ASK 1", f"ASK {no + 1}").replace("2d41", f"2d4{no}"),
+                        f"c0 < fetch 9b1f03aa5c7e2d4{no} {PAGE},fetch=p0,"
+                        f"retain={1 if not no else 2},handle=wait-for+background 0\\r\\n",
+                        f"c0 > 9b1f03aa5c7e2d4{no} data version=a{no} 2\\r\\nok",
+                        f"c1 < {no + 1} good have=a{no} ok",
+                        "c0 close",
+                        "wait 0.1",
+                    )
+                ),
+                "k1 > METRICS",
+                "wait 0.2",
+                "entries p0 o",
+                ASK.replace("2d41", "2d49").replace("ASK 1", "ASK 9"),
+                TAKEN.replace("2d41", "2d49"),
+                "p0 > 9b1f03aa5c7e2d49 data version=aa 2\\r\\nok",
+                "c1 < 9 good have=aa ok",
+                "keep k1",
+            ]
+        )
+
+    class Stop(Exception):
+        pass
+
+    async def step(self: Guarded, line: str) -> None:
+        if line == "keep k1":
+            found = self.parties["k1"].got.decode()
+            self.parties["k1"].got = b""
+            assert "app.handshakes_full:1|c" in found and "app.handshakes_resumed:2|c" in found, found
+            assert "app.peers_refused.other_identity:0|c" in found
+            return
+        await plain(self, line)
+
+    plain = Guarded.step
+    patch = pytest.MonkeyPatch()
+    patch.setattr(Guarded, "step", step)
+    try:
+        asyncio.run(play())
+    finally:
+        patch.undo()
+
+
+def test_the_agent_gets_the_header_that_it_must_insist_on(tmp_path: Path) -> None:
+    rig = Guarded(tmp_path)
+    asyncio.run(rig.run(["servers c0 p0 o", "wait 0.1"]))
+    assert ("workload.spiffe.io", "true") in rig.agent.headers and rig.agent.calls == 1
+
+
+def test_callers_of_the_signed_front_show_who_they_are(tmp_path: Path) -> None:
+    """h1 is of the staff; h2 is not let in, h3 is signed by somebody else, h4 shows nothing at all."""
+    rig = Guarded(tmp_path)
+    rig.tls, rig.more = rig.caller, '[signed]\nlisten = "127.0.0.1:HTTP"\npublic = "https://x"\n'
+    lines = [
+        "servers c0 p0 o",
+        "h1 > GET /health",
+        'h1 < 200 ; "status":"fit"',
+        "h1 > GET /health",
+        "h1 < 200",
+    ]
+    lines += [f"{name} turned away" for name in ("h2", "h3", "h4")]
+    lines += [
+        "entries c0 p0 o - spiffe://letra.example/staff/ana",
+        "h1 > GET /health",
+        "h1 < 401 ; connect again",
+    ]
+    asyncio.run(rig.run([*lines, "h1 end"]))
+    assert "caller refused: not listed: spiffe://letra.example/guest" in rig.log.read_text()
+
+
+HEAD = '[identities]\ntrust_domain = "letra.example"\n'
+BOXES = HEAD + 'workload_api = "unix:/x"\n[identities.servers]\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ('[identities]\ntrust_domain = "Letra"\nworkload_api = "unix:/x"', "identities.trust_domain"),
+        (HEAD, "either workload_api, or"),
+        (HEAD + 'workload_api = "unix:/x"\ncertificate = "a"', "either workload_api, or"),
+        (HEAD + 'workload_api = "nowhere"', "identities.workload_api is not host:port"),
+        (HEAD + 'workload_api = "unix:/x"\nskew_s = -1', "skew_s is a number of seconds"),
+        (HEAD + 'workload_api = "unix:/x"\ncallers = ["x"]', "identities.callers: not a SPIFFE ID"),
+        (BOXES + 'renew_after_s = 1', "expect, or entries"),
+        (BOXES + 'expect = "spiffe://x/y"', "{id} stands in it once"),
+        (BOXES + 'expect = "spiffe://x/{id}/../y"', "bad path segment"),
+        (BOXES + 'expect = "spiffe://x/{id}"\nend_after_s = 99',
+         "end_after_s is a number of seconds up to 60"),
+        (HEAD + 'workload_api = "unix:/x"\nspire = 1', "unknown key 'spire'"),
+    ],
+)  # fmt: skip
+def test_a_bad_operators_file_names_the_field(text: str, said: str, tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(text)
+    with pytest.raises(BadConfig) as problem:
+        operators.load(path)
+    assert said in str(problem.value) and "\n" not in str(problem.value)
--- a/tests/test_signed.py
+++ b/tests/test_signed.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import datetime
 import hashlib
 import json
 import re
@@ -14,15 +13,13 @@
 from pathlib import Path
 
 import pytest
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
 from joserfc import jwt
 from joserfc.jwk import ECKey, OctKey
 
 from onyxpulley import operator as operators
 from onyxpulley.config import BadConfig
 
+from .issuer import Domain
 from .player import PATIENCE, Play, read_cases
 
 FOLDER = Path(__file__).parent / "exchanges"
@@ -73,60 +70,16 @@
     return found[1] if found[2] else ""
 
 
-class Domain:
-    """A SPIFFE trust domain's signing certificate and the SVIDs it gives out (X509-SVID)."""
-
-    def __init__(self, folder: Path, name: str) -> None:
-        self.folder, self.name = folder, name
-        self.key = ec.generate_private_key(ec.SECP256R1())
-        self.root = self._make(self.key, "", None)
-        (folder / f"{name}.pem").write_bytes(self.root.public_bytes(serialization.Encoding.PEM))
-
-    def _make(
-        self, key: ec.EllipticCurvePrivateKey, uri: str, issuer: x509.Certificate | None
-    ) -> x509.Certificate:
-        now, ca = datetime.datetime.now(datetime.UTC), issuer is None
-        name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, self.name + uri[-8:])])
-        usage = [not ca, False, False, False, False, ca, ca, False, False]
-        build = (
-            x509.CertificateBuilder()
-            .subject_name(name)
-            .issuer_name(issuer.subject if issuer else name)
-            .public_key(key.public_key())
-            .serial_number(x509.random_serial_number())
-            .not_valid_before(now - datetime.timedelta(hours=1))
-            .not_valid_after(now + datetime.timedelta(hours=1))
-            .add_extension(x509.BasicConstraints(ca, None), True)
-            .add_extension(x509.KeyUsage(*usage), True)
-            .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), False)
-        )
-        if issuer is not None:
-            own = x509.AuthorityKeyIdentifier.from_issuer_public_key(self.key.public_key())
-            build = build.add_extension(own, False)
-        if uri:
-            names = x509.SubjectAlternativeName([x509.UniformResourceIdentifier(uri)])
-            build = build.add_extension(names, False)
-        return build.sign(self.key, hashes.SHA256())
-
-    def svid(self, file: str, uri: str) -> Path:
-        key = ec.generate_private_key(ec.SECP256R1())
-        pem = serialization.Encoding.PEM
-        (self.folder / f"{file}.pem").write_bytes(self._make(key, uri, self.root).public_bytes(pem))
-        (self.folder / f"{file}.key").write_bytes(
-            key.private_bytes(pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
-        )
-        return self.folder / f"{file}.pem"
-
-
 class Console(Play):
     """A play with callers of the administration API, each with its SVID."""
 
     def __init__(self, folder: Path) -> None:
         super().__init__(folder, fill, operator() + ADMIN, self.context)
-        self.home, self.other, self.next = (Domain(folder, n) for n in ("home", "other", "next"))
+        self.home, self.other, self.next = Domain(), Domain(), Domain()
         uri = "spiffe://letra.example"
-        self.home.svid("svid", f"{uri}/router")
-        (folder / "bundle.pem").write_bytes((folder / "home.pem").read_bytes())
+        self.home.write(folder, "svid", f"{uri}/router")
+        for file, domain in (("bundle", self.home), ("home", self.home), ("next", self.next)):
+            domain.write_bundle(folder / f"{file}.pem")
         for domain, file, path in (
             (self.home, "a1", uri + "/console"),
             (self.home, "a2", uri + "/reader"),
@@ -137,9 +90,11 @@
             (self.next, "a7", uri + "/console"),
             (self.next, "next-svid", uri + "/router"),
         ):
-            domain.svid(file, path)
+            domain.write(folder, file, *filter(None, [path]))
 
-    def context(self, name: str) -> ssl.SSLContext:
+    def context(self, name: str) -> ssl.SSLContext | None:
+        if name[0] == "h":  # callers of the signed front, which is plain here
+            return None
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         context.check_hostname = False  # a SPIFFE peer has no host name
         for bundle in ("home", "next"):
