See an incident: records in the router, one timeline of many, likely first causes and a report

Need: when a box falls silent, staff piece the story together by hand from raw logs. Off unless the operator's file has [records]; nothing of it is loaded on the platform.

Change: package `onyxpulley/incident`. In the router a `Tally` counts answers, attempts and loads by the second and keeps lists, purges, avoidance, phases and reloads as events; a thread writes them as Arrow streams and never makes a request wait: a disk that is behind costs records, and their number is a record. Afterwards `merge` puts the diaries of many routers on one clock, judged by the changes and purges that all were told, and shows every hole as a gap; `fleet` folds them into states, `causes` finds stretches in which more than usual was not served and weighs who is suspected, with the evidence. A command line: inspect, merge to Parquet, replay, follow, report.

Shown: a silent box, a drain, a purge and the end, played through the program on loopback, each within a second; clocks 3.5 s apart brought within 0.15 s; the same story from records shuffled, doubled, or a file cut at every 61st byte but for the gap; a killed router as a gap and another run; noise and an unknown version named with the byte, exit code 1, the others used; names escaped. The report was looked at as a picture: charts hatch where a router says nothing, weak suspects left out.

Hooks: `Exchange.seen`, `Bulletin.listed` and `purged`, `Facade.say`; without records they cost one comparison.

--- a/onyxpulley/bulletin.py
+++ b/onyxpulley/bulletin.py
@@ -8,7 +8,7 @@
 import socket
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from onyxpulley.buffers import Buffer
@@ -73,6 +73,10 @@
             self.task.cancel()
 
 
+def say(text: str) -> None:
+    print(f"bulletin: {text}", file=sys.stderr, flush=True)
+
+
 class Bulletin:
     def __init__(
         self,
@@ -85,19 +89,18 @@
     ) -> None:
         self.address, self.line = address, line
         self.facade, self.exchange, self.servers = facade, exchange, servers
+        self.say: Callable[[str], None] = say
         self.ledger, self.watch = Ledger(self.say), Watch(random.Random(seed).random)
         self.calls: dict[int, Call] = {}
         self.changed = asyncio.Event()
         self.looked = self.heard = time.monotonic()
+        self.listed: Callable[[bool, Sequence[Member]], None] = lambda full, members: None
+        self.purged: Callable[[str | None, int | None, int], None] = lambda item, lot, issued: None
 
     @property
     def no(self) -> int:
         return self.ledger.no
 
-    @staticmethod
-    def say(text: str) -> None:
-        print(f"bulletin: {text}", file=sys.stderr, flush=True)
-
     # ---- Events
     def known(self, no: int, rows: Sequence[dict[str, Any]]) -> None:
         """The events of the start. Raises one of `BAD`."""
@@ -109,12 +112,14 @@
         if isinstance(found, Roster):
             self._roster(found.full, found.members)
         elif isinstance(found, Recall):
+            self.purged(found.item, found.lot, found.issued)
             self.exchange.copies.purge(found.item, found.lot, found.issued)
             self.exchange.run(self.facade.purge(found.item, found.lot, found.issued))
 
     def _roster(self, full: bool, members: Sequence[Member]) -> None:
         if not members and not full:
             return
+        self.listed(full, members)
         if full:
             named = {m.uid for m in members}
             for uid in [uid for uid in self.servers.pools if uid not in named]:
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -86,6 +86,7 @@
     permitted: Callable[[], bool] | None = None  # asked before every attempt
     signature: str = ""  # for boxes that want it; never on the platform's wire
     key: str = ""
+    taken: int = 0  # when the core took it
     ended: bool = False
     maybe_ran: bool = False
     made: int = 0
@@ -153,6 +154,13 @@
     def abort(self, attempt: Attempt) -> None: ...
 
 
+class Seen(Protocol):
+    """Whoever records what happens."""
+
+    def answered(self, cls: str, verdict: str, took_us: int) -> None: ...
+    def attempted(self, server: str, outcome: str, took_us: int, load: tuple[float, ...] = ()) -> None: ...
+
+
 class Bounds(Protocol):
     """What the open requests may take together."""
 
@@ -172,6 +180,7 @@
         self.closing = False  # nothing new is begun: the router is leaving
         self.serial = self.bodies = 0
         self.heed: Callable[[], None] = lambda: None  # takes in what was told and not read yet
+        self.seen: Seen | None = None
         self._queue: list[Order] = []
         self._busy = False
         self._alarm: asyncio.TimerHandle | None = None
@@ -182,7 +191,7 @@
         """`first` on its connection: it may have been long in coming, so also one that leaves takes it."""
         self.heed()
         self.serial += 1
-        request.key = f"q{self.serial}"
+        request.key, request.taken = f"q{self.serial}", now_us()
         self.bodies += len(request.body)  # both bound the memory of all open requests together
         if (self.closing and not first) or self._full():
             self._answer(request, Answer(Verdict.REFUSED, later=self.decider.stay_away()))
@@ -238,6 +247,9 @@
             return
         self._close(attempt)
         request = attempt.request
+        if self.seen is not None:
+            took = now_us() - attempt.begun
+            self.seen.attempted(attempt.server, report.outcome.value, took, report.load)
         if report.outcome.never_ran:
             request.maybe_ran = any(a.written for a in request.attempts if a is not attempt)
             attempt.written = False
@@ -317,6 +329,8 @@
             return
         self._end(request)
         self.answers[request.cls, answer.verdict] += 1
+        if self.seen is not None:
+            self.seen.answered(request.cls, answer.verdict.value, now_us() - request.taken)
         request.reply(answer)
 
     def _end(self, request: Request) -> None:
@@ -330,6 +344,9 @@
             if not attempt.ended:
                 self._close(attempt)
                 self.carrier.abort(attempt)
+                if self.seen is not None:
+                    took = now_us() - attempt.begun
+                    self.seen.attempted(attempt.server, Outcome.ABORTED.value, took)
         request.attempts.clear()  # each holds the request: both would stay until a collection
 
     @staticmethod
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -69,6 +69,7 @@
         self.router = Router(self.settings, seed)
         self.live: dict[str, Request] = {}
         self.timers: list[tuple[int, int]] = []
+        self.say: Callable[[str], None] = lambda text: print(text, file=sys.stderr, flush=True)
 
     def configure(self, params: Json, own_transfers: float, memo: int) -> None:
         """Other settings from now on. Raises BadConfig on those that would change what servers are to it."""
@@ -203,7 +204,7 @@
             if isinstance(action, api.SetTimer):
                 heapq.heappush(self.timers, (self.clock() + action.delay, action.token))
             elif isinstance(action, api.Log):
-                print(action.text, file=sys.stderr, flush=True)
+                self.say(action.text)
             elif isinstance(
                 action, api.Ask | api.Fetch | api.Own | api.Refuse | api.Fail | api.Cancel
             ):
--- /dev/null
+++ b/onyxpulley/incident/__main__.py
@@ -0,0 +1,3 @@
+from onyxpulley.incident.cli import main
+
+main()
--- a/onyxpulley/operator.py
+++ b/onyxpulley/operator.py
@@ -9,6 +9,7 @@
 
 from onyxpulley.admin import ROLES
 from onyxpulley.config import BadConfig, address
+from onyxpulley.incident.keep import Keep
 from onyxpulley.spiffe.ids import BadIdentity, read_domain, read_id
 from onyxpulley.spiffe.peers import Expectations, Rules, read_callers
 from onyxpulley.spiffe.setup import Setup
@@ -25,6 +26,7 @@
     admin: tuple[str, int] | None
     allow: dict[str, str]
     identities: Setup | None
+    records: Keep | None = None
 
 
 def load(path: Path) -> Operator:
@@ -51,7 +53,7 @@
 
 
 def _read(table: dict[str, Any], folder: Path) -> Operator:
-    only(table, "operator's file", "signed", "admin", "tenants", "identities")
+    only(table, "operator's file", "signed", "admin", "tenants", "identities", "records")
     tenants = Tenants()
     for row in table.get("tenants", []):
         if row.get("name") in tenants.all:
@@ -88,9 +90,22 @@
         address(admin["listen"], "admin.listen") if admin else None,
         allow,
         identities,
+        _records(table.get("records"), folder),
     )
 
 
+def _records(table: dict[str, Any] | None, folder: Path) -> Keep | None:
+    if table is None:
+        return None
+    only(table, "records", "folder", "file_mb", "files")
+    size, files = table.get("file_mb", 64), table.get("files", 16)
+    if not isinstance(size, int | float) or not 0.01 <= size <= 1024:
+        raise BadConfig("records: file_mb is a number from 0.01 to 1024")
+    if isinstance(files, bool) or not isinstance(files, int) or not 1 <= files <= 10_000:
+        raise BadConfig("records: files is a whole number from 1 to 10000")
+    return Keep(folder / table["folder"], float(size), files)
+
+
 def _seconds(table: dict[str, Any], name: str, usual: float, most: float = 1e9) -> float:
     value = table.get(name, usual)
     if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= most:
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -31,6 +31,7 @@
     import socket
 
     from onyxpulley.http import Connection
+    from onyxpulley.incident.recorder import Recorder
     from onyxpulley.operator import Operator
     from onyxpulley.spiffe.trust import Keeper
 
@@ -74,9 +75,11 @@
         self.clients.others = lambda: [c for f in self.fronts if f.public for c in f.all]
         self.keeper: Keeper | None = None  # of identities, where the operator's file has some
         self.tasks: list[asyncio.Task[None]] = []
+        self.recorder: Recorder | None = None
 
     def enter(self, phase: Phase) -> None:
         self.phase = phase
+        self.note("phase", phase.value)
         self.clients.fit = self.fit()
         print(f"{self.conf.name}: {phase.value}", file=sys.stderr, flush=True)
 
@@ -96,6 +99,7 @@
             signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
     async def _phases(self) -> int:
+        self._recorded()
         self.enter(Phase.STARTING)
         try:
             self.bulletin.known(self.conf.known_no, self.conf.known)
@@ -133,6 +137,8 @@
         self.console.close()
         self.servers.close()
         self.enter(Phase.STOPPED)
+        if self.recorder is not None:
+            self.recorder.close()
         return 0
 
     def reload(self) -> None:
@@ -146,6 +152,7 @@
             self.facade.configure(new.settings, new.transfers, new.limits.memo)
         except config.BadConfig as problem:
             self.reloads["rejected"] += 1
+            self.note("reload", "rejected")
             print(f"{old.name}: reload: kept the old settings: {problem}", file=sys.stderr, flush=True)
             return
         new.limits.signature_boxes = old.limits.signature_boxes  # of the operator's file
@@ -155,6 +162,7 @@
         self.clients.classes = self.facade.classes
         self.bulletin.move(new.bulletin)
         self.reloads["applied"] += 1
+        self.note("reload", "applied")
         print(f"{new.name}: reloaded, bulletin {':'.join(map(str, new.bulletin))} after {self.bulletin.no}",
               file=sys.stderr, flush=True)  # fmt: skip
 
@@ -238,6 +246,25 @@
             what = "cannot listen" if isinstance(problem, OSError) else "identity"
             raise config.BadConfig(f"operator's file: {what}: {problem}") from problem
 
+    def _recorded(self) -> None:
+        """Records from the first event on, where the operator's file wants them."""
+        if self.operator is None or self.operator.records is None:
+            return
+        from onyxpulley.incident.hooks import attach
+        from onyxpulley.incident.recorder import Recorder
+
+        try:
+            self.recorder = Recorder(self.conf.name, self.facade.settings.zone, self.operator.records)
+        except OSError as problem:
+            raise config.BadConfig(f"operator's file: records: {problem.strerror or problem}") from problem
+        attach(self.recorder.tally, self.exchange, self.bulletin, self.facade)
+
+    def note(self, kind: str, cause: str) -> None:
+        if self.recorder is not None:
+            from onyxpulley.incident.records import Kind
+
+            self.recorder.tally.event(Kind(kind), cause=cause)
+
     def _identified(self, operator: Operator) -> None:
         """Who this router is and whom it trusts. Raises BadIdentity."""
         if operator.identities is None:
@@ -273,6 +300,8 @@
     async def _sweep(self) -> None:
         for no in itertools.count():
             await asyncio.sleep(SWEEP)
+            if self.recorder is not None:
+                self.recorder.tick()
             if self.keeper is not None:
                 self.keeper.tick()
                 self.clients.fit = self.fit()
--- a/tests/player.py
+++ b/tests/player.py
@@ -7,11 +7,11 @@
 it in again later; `{32 …}` and `{48001 bytes}` stand for what is too long to write. The first line names the
 servers and, after `|`, limits that differ. Other lines: `wait S`, `term`, `exit N`, `beside` (starts a second
 process, to which `term` and `exit` do not go), `PARTY end` (the program closes it), `PARTY close`, `many N`
-(connections that say nothing; `hold N`: at the second address; `large N`: half of a large message),
-`ID refuse`, `ID break`, `ID resets` (its next one), `ID connections N` (so far), `PARTY deaf`,
-`log has TEXT`, `log lacks TEXT`, `b lists ID=STATE`, `b purges ITEM`, `b moves` (to another address, told by
-SIGHUP), `config TEXT` (the file holds TEXT, told by SIGHUP).
-At the end nothing may be left unread at any party.
+(connections that say nothing; `hold N`: at the second address; `large N`: half of a large message), `ID
+refuse`, `ID break`, `ID resets` (its next one), `ID connections N` (so far), `PARTY forget` (what it has
+got), `PARTY deaf`, `log has TEXT`, `log lacks TEXT`, `b lists ID=STATE`, `b purges ITEM`, `b moves` (to
+another address, told by SIGHUP), `config TEXT` (the file holds TEXT, told by SIGHUP). At the end nothing may
+be left unread at any party.
 """
 
 from __future__ import annotations
@@ -355,6 +355,8 @@
                 if name == "large":
                     part = resp([b"ASK", b"1", b"convert-job", b"-", b"x" * 48_000])[:-9]
                     self.crowd[-1].write(part)
+        elif verb == "forget":
+            self.parties[name].got = b""
         elif verb == "resets":
             self.parties[name].resets = True
         elif verb == "connections":
