Say fit only when the bulletin has spoken, so that no request is sent on an old list

Need: a router that is killed starts again from `known`, which is as old as its configuration; what was told since counts all the same. It entered SERVING before its first call to the bulletin was made (`_phases`), and the front sends from then on.

Change: STARTING lasts until the bulletin's first words have been taken in, or for 2 s (`news.UP`), in which four calls were made; then it serves with what it has, since refusing all would cost more. PAUSE in that time counts.

Test: the first words bring a drain that `known` had not; fit is said behind it. It fails without the wait in the case of a silent bulletin, which then is fit at once.

--- a/onyxpulley/bulletin.py
+++ b/onyxpulley/bulletin.py
@@ -93,6 +93,7 @@
         self.ledger, self.watch = Ledger(self.say), Watch(random.Random(seed).random)
         self.calls: dict[int, Call] = {}
         self.changed = asyncio.Event()
+        self.caught_up = asyncio.Event()  # it spoke, and what came with its first words has been taken in
         self.looked = self.heard = time.monotonic()
         self.listed: Callable[[bool, Sequence[Member]], None] = lambda full, members: None
         self.purged: Callable[[str | None, int | None, int], None] = lambda item, lot, issued: None
@@ -197,6 +198,8 @@
                 self.end(key)
                 return
             self._take(lines)
+            if lines:
+                self.caught_up.set()
         except BadNews as problem:
             self.say(str(problem))
             self.end(key)
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -24,7 +24,7 @@
 from onyxpulley.core import Exchange, Verdict, now_us
 from onyxpulley.facade import Facade
 from onyxpulley.listeners import FIRST, Listener, make_room
-from onyxpulley.news import BAD
+from onyxpulley.news import BAD, UP
 from onyxpulley.servers import Servers
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
 
 
 class Phase(Enum):
-    STARTING = "starting"
+    STARTING = "starting"  # until the bulletin spoke, or long enough: what is known may be old
     SERVING = "serving"
     PAUSED = "paused"  # drained by the staff, until they resume
     LINGERING = "lingering"  # SIGTERM came; the front still sends
@@ -70,6 +70,7 @@
         self.fronts: list[Front] = []
         self.console = Console(lambda: self.clients.fit, self.figures, self.pause, self.resume)
         self.since = 0.0  # when it began to leave
+        self.held = False  # told to pause, maybe while it started
         self.reloads = {"applied": 0, "rejected": 0}
         self.clients.beside = lambda: sum(len(front.tasks) for front in self.fronts)
         self.clients.others = lambda: [c for f in self.fronts if f.public for c in f.all]
@@ -122,8 +123,13 @@
             asyncio.create_task(self.clients.accept()),
             asyncio.create_task(self._sweep()),
         ]
-        self.enter(Phase.SERVING)
         stop = asyncio.create_task(self.term.wait())
+        caught_up = asyncio.create_task(self.bulletin.caught_up.wait())
+        await asyncio.wait([stop, caught_up, *tasks], timeout=UP, return_when=asyncio.FIRST_COMPLETED)
+        caught_up.cancel()
+        if not stop.done():
+            self.since = time.monotonic()
+            self.enter(Phase.PAUSED if self.held else Phase.SERVING)
         done, _ = await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
         for task in done:
             if task is not stop:
@@ -169,12 +175,16 @@
     # ---- The staff's calls
     def pause(self) -> str:
         """Drains, and goes on when told to. Says so at once; what follows is `_retreat`."""
+        self.held = True
         if self.phase is Phase.SERVING:
             self.since = time.monotonic()
             self.enter(Phase.PAUSED)
         return ""
 
     def resume(self) -> str:
+        self.held = False
+        if self.phase is Phase.STARTING:  # what was said meanwhile is taken back
+            return ""
         if self.phase is Phase.PAUSED:
             self.clients.leaving = self.exchange.closing = False
             self.enter(Phase.SERVING)
--- a/tests/player.py
+++ b/tests/player.py
@@ -26,6 +26,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -97,6 +98,7 @@
         self.writer: asyncio.StreamWriter | None = None
         self.server: asyncio.Server | None = None
         self.resets, self.connections = False, 0
+        self.greeting: Callable[[], bytes] | None = None  # its answer to the first words of each connection
         self.owner: dict[bytes, asyncio.StreamWriter] = {}  # where a request came, there its answer goes
 
     async def read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -105,8 +107,12 @@
             return writer.transport.abort()
         self.writer, self.ended, self.connections = writer, False, self.connections + 1
         try:
+            greeting = self.greeting
             while data := await reader.read(65536):
                 self.got += data
+                if greeting is not None:
+                    writer.write(greeting())
+                    greeting = None
                 self.owner.update(dict.fromkeys(re.findall(rb"fetch (\w{16})", data), writer))
                 self.news.set()
         except (OSError, asyncio.CancelledError):
@@ -145,9 +151,13 @@
         self.log = folder / "log"
         self.second: subprocess.Popen[bytes] | None = None
 
+    def number(self) -> bytes:
+        return b'{"no":%d}\n' % (1 + self.rosters)
+
     async def start(self, servers: list[str]) -> None:
         for name in ["b", *servers]:
             party = self.parties[name] = Party()
+            party.greeting = self.number if name == "b" else None
             party.server = await asyncio.start_server(party.read, "127.0.0.1", 0, ssl=self.guard(name))
         for _ in range(5):  # another process may have taken a port meanwhile
             self.launch(servers)
@@ -217,7 +227,7 @@
             await asyncio.sleep(1.0)
             writer = self.parties["b"].writer
             if writer is not None and not writer.is_closing():
-                writer.write(b'{"no":%d}\n' % (1 + self.rosters))
+                writer.write(self.number())
 
     def port(self, name: str) -> int:
         server = self.parties[name].server
@@ -365,6 +375,7 @@
             await self.reload(f"{verb} {rest}")
         elif name == "b" and verb == "moves":
             old, party = self.parties["b"], Party()
+            party.greeting = self.number
             party.server = await asyncio.start_server(party.read, "127.0.0.1", 0)
             self.parties["b"] = party
             assert old.server is not None
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -6,7 +6,9 @@
 import json
 import random
 import socket
+import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -16,11 +18,11 @@
 from onyxpulley.copies import Copies
 from onyxpulley.core import Exchange, Request
 from onyxpulley.facade import Facade
-from onyxpulley.news import CALLS, DEAD, BadNews, Ledger, Recall, Roster, Watch, event
+from onyxpulley.news import CALLS, DEAD, UP, BadNews, Ledger, Recall, Roster, Watch, event
 from onyxpulley.servers import Servers
 from onyxpulley.wires import Plain
 
-from .player import SETTINGS
+from .player import SETTINGS, Play
 
 LIMITS = limits_of({"memory_mb": 64, "sockets": 256}, {}, 3.0)
 
@@ -258,6 +260,40 @@
     assert len(sent) == 1 and b"fetch 0000000000000000 " in sent[0]
 
 
+@pytest.mark.parametrize("speaks", [True, False])
+def test_a_router_is_fit_when_the_news_caught_up_or_after_two_seconds(speaks: bool, tmp_path: Path) -> None:
+    """Its first words bring a drain that `known` had not: fit is said behind it, not before."""
+
+    class Behind(Play):
+        def number(self) -> bytes:
+            if not speaks:
+                return b""
+            self.rosters = 1
+            return json.dumps(self.roster(2, [("c0", "Terminating"), ("p0", "Terminating")])).encode() + b"\n"
+
+    async def play() -> None:
+        rig = Behind(tmp_path)
+        began = time.monotonic()
+        lines = ["servers c0 c1x p0 o", "c1 > STATUS 8", FIT]
+        if speaks:
+            lines += [
+                f"c1 > ASK 1 {VIDEO}",
+                "c1x < " + SENT,
+                "c1x > 9b1f03aa5c7e2d41 data version=aa 2\\r\\nok",
+            ]
+            lines += ["c1 < 1 good have=aa ok", "c0 forget"]
+        await rig.run([*lines, "b forget"])
+        assert speaks or time.monotonic() - began >= UP, "it waited for what may come"
+
+    asyncio.run(play())
+
+
+FIT = 'c1 < "*4\\r\\n$1\\r\\n8\\r\\n$3\\r\\nfit\\r\\n$0\\r\\n\\r\\n$0\\r\\n\\r\\n"'
+VIDEO = "video-part txn=9b1f03aa5c7e2d41,limit=4000,item=7f3a9c21e0b4d651,part=0,group=1,ram=40"
+SENT = (
+    "fetch 9b1f03aa5c7e2d41 cls=video-part,item=7f3a9c21e0b4d651,chunk=0,limit={n},fetch=o,"
+    "retain=1,handle=wait-for 0\\r\\n"
+)
 LONG = "s" * 124
 
 
