Play 400 requests through boxes whose identities rotate, and lose none

Need: rotation was shown with one long answer, not under load. The test answers by itself at four boxes under TLS while the agent gives out six SVIDs, the bundle changes and two boxes show new certificates five times; connections are renewed after 0.4 s. All 400 are served, nobody is refused.

--- a/tests/player.py
+++ b/tests/player.py
@@ -98,6 +98,7 @@
         self.writer: asyncio.StreamWriter | None = None
         self.server: asyncio.Server | None = None
         self.resets, self.connections = False, 0
+        self.auto = False  # it answers every request by itself
         self.greeting: Callable[[], bytes] | None = None  # its answer to the first words of each connection
         self.owner: dict[bytes, asyncio.StreamWriter] = {}  # where a request came, there its answer goes
 
@@ -107,8 +108,14 @@
             return writer.transport.abort()
         self.writer, self.ended, self.connections = writer, False, self.connections + 1
         try:
-            greeting = self.greeting
+            greeting, rest = self.greeting, b""
             while data := await reader.read(65536):
+                if self.auto:
+                    *lines, rest = (rest + data).split(b"\r\n")
+                    for line in lines:
+                        if line.startswith(b"fetch "):
+                            writer.write(line.split(b" ")[1] + b" data version=aa 2\r\nok\r\n")
+                    continue
                 self.got += data
                 if greeting is not None:
                     writer.write(greeting())
--- a/tests/test_identities.py
+++ b/tests/test_identities.py
@@ -293,6 +293,46 @@
     assert "caller refused: not listed: spiffe://letra.example/guest" in rig.log.read_text()
 
 
+def test_nothing_is_lost_while_identities_rotate_under_load(tmp_path: Path) -> None:
+    """400 requests in flight while SVID, bundle and the boxes' certificates change five times over."""
+    rig = Guarded(tmp_path, renew=0.4)
+    answers: list[bytes] = []
+
+    async def load() -> None:
+        for name in ("c0", "c1x", "p0", "o"):
+            rig.parties[name].auto = True
+        client = await rig.party("c1")
+        for no in range(1, 401):
+            row = f"txn={no:016x},limit=4000,item={no % 40:016x},part=0,group=1,ram=4"
+            await rig.send("c1", f"ASK {no} page-file {row}")
+            if no % 80 == 0:
+                for name in ("c0", "c1x"):
+                    rig.show(name, f"/box/{name}", rig.home, {})
+                await rig.step("agent tells of both" if no % 160 else "agent tells")
+            await asyncio.sleep(0.005)
+        async with asyncio.timeout(PATIENCE):
+            while client.got.count(b"\r\ngood\r\n") < 400:
+                await asyncio.sleep(0.02)
+        answers.append(client.got)
+        client.got = b""
+
+    async def play() -> None:
+        plain = rig.step
+
+        async def step(line: str) -> None:
+            await (load() if line == "load" else plain(line))
+
+        rig.step = step  # type: ignore[method-assign]
+        await rig.run(
+            ["servers c0 c1x p0 o", "load", "k1 > METRICS", "wait 0.3", "log lacks refused", "k1 forget"]
+        )
+
+    asyncio.run(play())
+    assert answers[0].count(b"\r\ngood\r\n") == 400
+    assert rig.log.read_text().count("agent reloaded: own SVID") == 6
+    assert rig.parties["c0"].connections > 2, "old connections were renewed"
+
+
 HEAD = '[identities]\ntrust_domain = "letra.example"\n'
 BOXES = HEAD + 'workload_api = "unix:/x"\n[identities.servers]\n'
 
