Read records a part at a time, and only those that judge a clock for the clocks

Need: a report over many hours held every file of a run at once, a histogram for each second, and a line for each purge. Change: the parts of a run are opened one after the other; the pass over the clocks picks lists and purges out of the columns before it makes records; histograms are added up as they come; purges are replayed, not kept.

--- a/onyxpulley/incident/causes.py
+++ b/onyxpulley/incident/causes.py
@@ -34,7 +34,6 @@
     "news": 1.5,
     "leaving": 1.0,
     "started": 0.7,
-    "purge": 0.3,
 }
 
 
@@ -112,7 +111,6 @@
     "news": "said: {what}",
     "leaving": "was told to drain",
     "started": "started cold",
-    "purge": "was purged",
 }
 
 
--- a/onyxpulley/incident/files.py
+++ b/onyxpulley/incident/files.py
@@ -69,8 +69,12 @@
     table: pa.Table
     torn_at: int  # byte at which it ends within a batch, -1: it is whole
 
-    def records(self) -> Iterator[Record]:
-        for batch in self.table.to_batches(max_chunksize=4096):
+    def records(self, kinds: frozenset[Kind] | None = None) -> Iterator[Record]:
+        """All, or those of some kinds, which are picked out before they are made."""
+        table = self.table
+        if kinds is not None:
+            table = table.filter(pc.is_in(table.column("kind"), pa.array(sorted(kinds))))
+        for batch in table.to_batches(max_chunksize=4096):
             columns = [batch.column(no).to_pylist() for no in range(batch.num_columns)]
             for seq, at, kind, server, cls, cause, count, value, detail in zip(*columns, strict=True):
                 yield Record(seq, at, Kind(kind), server, cls, cause, count, value, detail)
--- a/onyxpulley/incident/fleet.py
+++ b/onyxpulley/incident/fleet.py
@@ -5,10 +5,14 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from hdrh.histogram import HdrHistogram
+
 from onyxpulley.incident.merge import FRESH, SECOND, Entry, Gap
 from onyxpulley.incident.records import Kind, Record
+from onyxpulley.incident.tally import DIGITS, LONGEST
 
 TOGETHER = 10 * SECOND  # the same told by several routers within that is one happening
+PURGE = "purge"
 BUCKET = 5  # seconds in which the attempts at one server are added up
 FAILING = frozenset({"failed", "timed out", "unreachable", "broken", "full"})
 STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
@@ -78,7 +82,7 @@
         self.routers: dict[str, Router] = {}
         self.seconds: dict[int, Second] = {}
         self.attempts: dict[int, Counter[tuple[str, str]]] = {}  # by bucket: server and outcome
-        self.times: dict[str, list[tuple[int, str]]] = {}  # by class: second and histogram
+        self.times: dict[str, HdrHistogram] = {}  # by class, ms of what was served
         self.happenings: list[Happening] = []
         self.open: dict[tuple[str, str, str, float], Happening] = {}
         self.first = self.last = 0
@@ -96,7 +100,8 @@
                 second = self.seconds.setdefault(entry.time // SECOND, Second())
                 second.answers[record.cls, record.cause] += record.count
                 if record.detail:
-                    self.times.setdefault(record.cls, []).append((entry.time // SECOND, record.detail))
+                    times = self.times.setdefault(record.cls, HdrHistogram(1, LONGEST, DIGITS))
+                    times.decode_and_add(record.detail)
             case Kind.ATTEMPT:
                 bucket = self.attempts.setdefault(entry.time // SECOND // BUCKET, Counter())
                 bucket[record.server, record.cause] += record.count
@@ -110,7 +115,7 @@
             case Kind.PHASE:
                 return self._phase(entry, record, router)
             case Kind.PURGE:
-                return self._happens(entry, "purge", record.detail, "purged", record.value)
+                return self._happens(entry, PURGE, record.detail, "purged", record.value)
             case Kind.RELOAD:
                 return self._happens(entry, Kind.RELOAD, entry.origin.router, f"reload {record.cause}")
             case Kind.NEWS:
@@ -134,7 +139,8 @@
             return None
         new = Happening(entry.time, kind, who, what, entry.time, {entry.origin.router}, value)
         self.open[key] = new
-        self.happenings.append(new)
+        if kind != PURGE:  # there may be thousands an hour: they are replayed, not kept
+            self.happenings.append(new)
         if len(self.open) > 10_000:
             self.open = {k: h for k, h in self.open.items() if entry.time - h.last < TOGETHER}
         return new
--- a/onyxpulley/incident/load.py
+++ b/onyxpulley/incident/load.py
@@ -2,27 +2,42 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import groupby
 from pathlib import Path
 
 from onyxpulley.incident import files
 from onyxpulley.incident.files import Diary, Unreadable
 from onyxpulley.incident.fleet import Fleet, Happening
-from onyxpulley.incident.merge import Clock, Entry, Gap, Key, anchors_of, clocks, merged, whole
+from onyxpulley.incident.merge import ANCHORED, Clock, Entry, Gap, Key, anchors_of, clocks, merged, whole
 from onyxpulley.incident.records import Origin, Record
 
 
 @dataclass(slots=True)
 class Run:
-    """All files of one run of a router. They are opened anew at each pass: columns in memory, no records."""
+    """All files of one run of a router, with their part numbers. They are opened anew at each pass, one part
+    after the other: in memory are the columns of one file for each router."""
 
     origin: Origin
-    parts: list[Path] = field(default_factory=list)
+    parts: list[tuple[int, Path]] = field(default_factory=list)
     torn: bool = False
 
     def rows(self) -> Iterator[Record | Gap]:
-        return whole(self.origin, [files.read(path).records() for path in self.parts], self.torn)
+        return whole(self.origin, [self._records()], self.torn)
+
+    def _records(self) -> Iterator[Record]:
+        for _, same in groupby(sorted(self.parts), key=lambda part: part[0]):
+            copies = [files.read(path).records() for _, path in same]
+            yield from heapq.merge(*copies, key=lambda record: record.seq)
+
+    def anchors(self) -> dict[Key, int]:
+        """A look at a small part of the records; copies of a file tell nothing twice."""
+        found: dict[int, Record] = {}
+        for _, path in self.parts:
+            found |= {record.seq: record for record in files.read(path).records(ANCHORED)}
+        return anchors_of(self.origin, (found[seq] for seq in sorted(found)))
 
 
 @dataclass(slots=True)
@@ -66,7 +81,7 @@
             bad.append(problem)
             continue
         run = runs.setdefault(diary.origin, Run(diary.origin))
-        run.parts.append(path)
+        run.parts.append((diary.part, path))
         count += diary.table.num_rows
         if diary.torn_at >= 0:
             torn.append((path, diary.torn_at))
@@ -76,8 +91,7 @@
     found = sorted(runs.values(), key=lambda run: run.origin)
     seen: dict[str, dict[Key, int]] = {}
     for run in found:
-        rows = (row for row in run.rows() if isinstance(row, Record))
-        for key, at in anchors_of(run.origin, rows).items():
+        for key, at in run.anchors().items():
             seen.setdefault(run.origin.router, {}).setdefault(key, at)
         seen.setdefault(run.origin.router, {})
     return Case(found, bad, torn, clocks(seen), count)
--- a/onyxpulley/incident/merge.py
+++ b/onyxpulley/incident/merge.py
@@ -74,6 +74,7 @@
 
 # ---- Clocks
 Key = tuple[str, str, str, float]
+ANCHORED = frozenset({Kind.LIST, Kind.PURGE})
 
 
 def anchor(record: Record) -> Key | None:
--- a/onyxpulley/incident/report.py
+++ b/onyxpulley/incident/report.py
@@ -7,14 +7,12 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
-from hdrh.histogram import HdrHistogram
 from jinja2 import Environment, FileSystemLoader, select_autoescape
 
 from onyxpulley.incident.causes import Incident, incidents
 from onyxpulley.incident.fleet import Fleet, Span
 from onyxpulley.incident.load import Case
 from onyxpulley.incident.merge import SECOND
-from onyxpulley.incident.tally import DIGITS, LONGEST
 
 WIDTH, HEIGHT, LANE = 960, 130, 14  # pixels
 COLUMNS = 480  # of the charts: more seconds than that share one
@@ -91,11 +89,9 @@
 
 
 def times(fleet: Fleet, cls: str) -> str:
-    """Median and 99th of what was served, from the histograms of all routers together."""
-    whole = HdrHistogram(1, LONGEST, DIGITS)
-    for _, text in fleet.times.get(cls, ()):
-        whole.decode_and_add(text)
-    if not whole.total_count:
+    """Median and 99th of what was served, of all routers together."""
+    whole = fleet.times.get(cls)
+    if whole is None or not whole.total_count:
         return "no times recorded"
     at = whole.get_value_at_percentile
     return f"median {at(50)} ms, 99th {at(99)} ms"
@@ -130,7 +126,7 @@
 
 def story(fleet: Fleet, found: Sequence[Incident]) -> list[tuple[int, str, str, str]]:
     """The timeline: when, who, what, and how many routers say so."""
-    rows = [(h.time, h.who, h.what, f"{len(h.routers)}") for h in fleet.happenings if h.kind != "purge"]
+    rows = [(h.time, h.who, h.what, f"{len(h.routers)}") for h in fleet.happenings]
     for no, incident in enumerate(found, 1):
         rows.append((incident.since * SECOND, f"incident {no}", "more than usual is not served", ""))
         rows.append((incident.until * SECOND + SECOND, f"incident {no}", "over", ""))
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -22,7 +22,7 @@
 from onyxpulley.incident.fleet import Fleet
 from onyxpulley.incident.keep import Keep
 from onyxpulley.incident.load import Case, case_of
-from onyxpulley.incident.merge import SECOND, Gap, anchors_of, clocks, whole
+from onyxpulley.incident.merge import SECOND, Entry, Gap, anchors_of, clocks, whole
 from onyxpulley.incident.recorder import Recorder
 from onyxpulley.incident.records import Kind, Origin, Record
 from onyxpulley.incident.report import render
@@ -259,7 +259,9 @@
     assert all(len(r.detail) <= 200 for r in rows if r.kind is Kind.NEWS)
     (answers,) = [r for r in rows if r.kind is Kind.ANSWER]
     fleet = Fleet()
-    fleet.times["page-file"] = [(0, answers.detail)]
+    fleet.feed(Entry(START, Origin("n0", START), answers))
+    times = fleet.times["page-file"]
+    assert times.total_count == 3 and 890 <= times.get_value_at_percentile(100) <= 910
     assert answers.count == 3 and [r.kind for r in tally.take()] == [Kind.HERE]
 
 
@@ -331,4 +333,4 @@
     assert sum(second.asked() for second in fleet.seconds.values()) == 8
     (incident,) = incidents(fleet)
     assert incident.lost >= 4 and incident.suspects[0].who[0] == "c0", incident.suspects
-    assert any(h.kind == "purge" and h.who == "object 7f3a9c21e0b4d651" for h in fleet.happenings)
+    assert any(h.kind == "purge" and h.who == "object 7f3a9c21e0b4d651" for _, h in case.replay())
