Keep noise from taking an event's number, and many servers' ranks within their memory

A line that can't be read has no number, and `_pass` gave it the next one: noise beside the events, twice in the same place, would have made the real event a repeat. And `Memo` counts entries of the ranks as 900 bytes, though each refers to every server of its role: 4,000 objects at 1,088 servers hold 37 MB, 11,666 entries would at 96 MB hold over a hundred.

Change: a line that can't be read is passed over without a number; what it stood for may be missing, as a gap is. Nine in a row end the call. The ranks' table has the fewer entries the more servers there are, anew with each list.

Tests: a drain behind noise; ranks of 9, 200 and 1,100 servers within their share (the last two fail on the old table).

--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -139,8 +139,8 @@
     def configure(self, settings: api.Settings) -> None:
         """Other figures from now on; open jobs keep their class's, servers their roles."""
         self.set, self.classes = settings, {c.name: c for c in settings.classes}
-        self.ranks.clear()
-        for table in (self.ranks, self.learned, self.heat):
+        self.ranks.reset(settings.memo, len(self.servers))
+        for table in (self.learned, self.heat):
             table.most = settings.memo
 
     # ---- Ranking, membership and warm-up
@@ -184,7 +184,7 @@
         self.servers = {i: s for i, s in self.servers.items() if s.state != State.GONE or self.counts(s)}
         origins = (s for s in self.servers.values() if s.role == "origin" and s.state == State.READY)
         self.origin = next(origins, None)
-        self.ranks.clear()
+        self.ranks.reset(self.set.memo, len(self.servers))
         if self.set.subscribe and not self.asked_list:
             self.asked_list = True
             self.actions.append(api.Subscribe())
--- a/onyxpulley/memo.py
+++ b/onyxpulley/memo.py
@@ -9,6 +9,7 @@
 K = TypeVar("K")
 V = TypeVar("V")
 SECOND = 1_000_000
+PLAIN = 100  # references whose bytes are those of a plain entry: eight bytes each, 900 in all (config.ENTRY)
 
 
 class Memo(OrderedDict[K, V], Generic[K, V]):
@@ -18,6 +19,11 @@
         super().__init__()
         self.most = most
 
+    def reset(self, most: int, wide: int) -> None:
+        """Empty, for entries that each refer to so many things: the more there are, the fewer have room."""
+        self.clear()
+        self.most = max(1, most * PLAIN // (PLAIN + wide))
+
     def __setitem__(self, key: K, value: V) -> None:
         super().__setitem__(key, value)
         self.move_to_end(key)
--- a/onyxpulley/news.py
+++ b/onyxpulley/news.py
@@ -18,6 +18,7 @@
 SPREAD = 0.3  # seconds by which that varies: all routers hear the same silence
 DEAD = 2.5  # seconds without a word: the call is over
 PAUSE = 0.1, 0.5  # first and longest mean wait between two calls: what was told meanwhile counts already
+NOISE = 8  # bad lines in a row that are passed over: a call that brings nothing else is of no use
 CALLS = 4  # at a time: one may hang while the next ones are begun
 UP = CALLS * PAUSE[1]  # seconds until it is up, and until its first word
 
@@ -88,7 +89,7 @@
         self.no, self.say = 0, say
         self.doubted = -1  # the number after which a line was refused
         self.ahead = -1  # the number after which events were missing when the last was named
-        self.skipped = 0
+        self.skipped = self.noise = 0  # bad lines passed over: in all, and since the last event
 
     def read(self, line: bytes) -> Event | None:
         """The next event; None for what says nothing new. Raises BadNews."""
@@ -100,7 +101,7 @@
             bare = isinstance(row, int) or row.keys() == {"no"}
             no = int(row if isinstance(row, int) else row["no"])
         except BAD as problem:
-            self._pass(self.no + 1, problem)
+            self._pass(self.no, problem)  # which event it was, or none at all, cannot be told
             return None
         if bare:
             self._last(no)
@@ -113,8 +114,9 @@
             found = event(row)
         except BAD as problem:
             self._pass(no, problem)
+            self.no = no
             return None
-        self.no = no
+        self.no, self.noise = no, 0
         return found
 
     def _last(self, no: int) -> None:
@@ -134,8 +136,13 @@
     def _pass(self, no: int, problem: Exception) -> None:
         if self.doubted != self.no:
             self._doubt(f"bad line after {self.no}: {problem!r}")
-        self.say(f"event {no} is passed over, bad again: {problem!r}"[:300])
-        self.no, self.skipped = no, self.skipped + 1
+        what = f"event {no}" if no > self.no else f"a line after {no}"
+        self.noise += 1
+        if self.noise > NOISE:
+            self.noise = 0
+            raise BadNews(f"more than {NOISE} bad lines after {self.no}")
+        self.say(f"{what} is passed over, bad again: {problem!r}"[:300])
+        self.skipped += 1
 
 
 @dataclass(slots=True)
