Write what identities have to say as fields, by a library

Need: lines in words are hard to search and to alert on. Change: logs.lines_of gives each part a logger of time, part, event and fields (structlog, logfmt); values are cut, and kept to one line, since peers choose some of them. Identities use it; the other parts' lines stay as the platform's readers know them.

--- a/onyxpulley/spiffe/trust.py
+++ b/onyxpulley/spiffe/trust.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import sys
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -12,6 +11,7 @@
 
 from OpenSSL import SSL
 
+from onyxpulley.logs import lines_of
 from onyxpulley.spiffe.ids import BadIdentity
 from onyxpulley.spiffe.peers import Bond, Expectations, Peers, Standing
 from onyxpulley.spiffe.setup import Setup
@@ -68,7 +68,7 @@
 
     def __init__(self, setup: Setup, clock: Callable[[], float] = time.time) -> None:
         """Raises BadIdentity where files cannot be used at the start."""
-        self.setup, self.clock = setup, clock
+        self.setup, self.clock, self.say = setup, clock, lines_of("identity")
         self.identities = Identities(setup.domain, setup.hint, setup.skew)
         self.peers = Peers(self.identities, read_entries(setup.expect, setup.entries), setup.rules)
         self.contexts: dict[bool, SSL.Context] = {}
@@ -92,16 +92,14 @@
         try:
             change = self.identities.take(load(), self.clock())
         except BadIdentity as problem:
-            self.say(f"{source}: kept what was good before: {problem}")
+            self.say("rejected", source=source, why=str(problem), kept="what was good before")
             return False
         if change:
             own = self.identities.own
             assert own is not None
-            what = (
-                [f"own SVID {own.id}, {self.identities.ends(self.clock()):.0f} s left"] if change.own else []
-            )
-            what += [f"bundle of {name}" for name in sorted(change.domains)]
-            self.say(f"{source} reloaded: {'; '.join(what)}")
+            bundles = ",".join(sorted(change.domains))
+            svid = str(own.id) if change.own else "as before"
+            self.say("reloaded", source=source, svid=svid, seconds_left=round(self.left()), bundles=bundles)
         return True
 
     def tick(self) -> None:
@@ -113,13 +111,13 @@
                 found: Expectations = read_entries(self.setup.expect, self.setup.entries)
                 if self.peers.expect(found):
                     count = len(found.entries) if found.entries is not None else 0
-                    self.say(f"entries reloaded: {count} boxes, {len(found.revoked)} revoked")
+                    self.say("reloaded", source="entries", boxes=count, revoked=len(found.revoked))
             except BadIdentity as problem:
-                self.say(f"entries: kept those of before: {problem}")
+                self.say("rejected", source="entries", why=str(problem), kept="those of before")
         health = self.identities.health(self.clock())
         if health is not self.health:
             self.health = health
-            self.say(f"own SVID: {health.value}, {self.identities.ends(self.clock()):.0f} s left")
+            self.say("health", state=health.value, seconds_left=round(self.left()))
 
     def left(self) -> float:
         """Seconds for which the own SVID is still good."""
@@ -160,12 +158,12 @@
             return Verified(self, tls, bond)
         except BadIdentity as problem:
             self.peers.refused[Cause.NO_SVID] += 1
-            raise self._refuse(f"server {uid}", str(problem)) from problem
+            raise self._refuse(f"server:{uid}", str(problem)) from problem
         except Refused as problem:
-            raise self._refuse(f"server {uid}", str(problem)) from problem
+            raise self._refuse(f"server:{uid}", str(problem)) from problem
         except (OSError, TimeoutError) as problem:
             self.peers.refused[Cause.HANDSHAKE] += 1
-            raise self._refuse(f"server {uid}", f"handshake: {str(problem) or 'no answer'}") from problem
+            raise self._refuse(f"server:{uid}", f"handshake: {str(problem) or 'no answer'}") from problem
 
     def remember(self, bond: Bond, tls: Tls) -> None:
         """The session of a server that is trusted now. It is no trust in itself: who resumes it is judged by
@@ -181,8 +179,8 @@
         before = bond.standing
         now = self.peers.standing(bond, self.clock())
         if now is Standing.ENDING and before is not now and bond.cause is not None:
-            who = f"server {bond.uid}" if bond.uid else "caller"
-            self._line(f"{who} {bond.chain.id} is no longer trusted: {bond.cause.value}")
+            peer = f"server:{bond.uid}" if bond.uid else "caller"
+            self._line("untrusted", peer=peer, id=str(bond.chain.id), cause=bond.cause.value)
         return now
 
     # ---- Callers
@@ -216,21 +214,17 @@
         rows += [(f"peers_ended.{c.value.replace(' ', '_')}", n, "c") for c, n in self.peers.ended.items()]
         return rows
 
-    def _refuse(self, who: str, why: str) -> Unverified:
-        self._line(f"{who} refused: {why}")
+    def _refuse(self, peer: str, why: str) -> Unverified:
+        self._line("refused", peer=peer, why=why)
         return Unverified(why)
 
-    def _line(self, text: str) -> None:
+    def _line(self, event: str, **fields: object) -> None:
         """Guards the log against peers that come again and again."""
         now = time.monotonic()
         if now - self.said_at >= 1.0:
             if self.said > LINES:
-                self.say(f"{self.said - LINES} more refused like these")
+                self.say("limited", more=self.said - LINES)
             self.said, self.said_at = 0, now
         self.said += 1
         if self.said <= LINES:
-            self.say(text)
-
-    @staticmethod
-    def say(text: str) -> None:
-        print(f"identity: {text}"[:400], file=sys.stderr, flush=True)
+            self.say(event, **fields)
--- a/onyxpulley/spiffe/workload.py
+++ b/onyxpulley/spiffe/workload.py
@@ -12,6 +12,7 @@
 from cryptography.hazmat.primitives import serialization
 from google.protobuf import descriptor_pb2, descriptor_pool, message, message_factory
 
+from onyxpulley.logs import Say
 from onyxpulley.spiffe.ids import BadIdentity, read_domain, read_id
 from onyxpulley.spiffe.pace import Pace
 from onyxpulley.spiffe.state import Update
@@ -95,7 +96,7 @@
         pace: Pace,
         take: Callable[[Update], bool],  # False: it was of no use
         left: Callable[[], float],  # seconds for which what is held lasts
-        say: Callable[[str], object],
+        say: Say,
     ) -> None:
         self.address, self.pace, self.take, self.left, self.say = address, pace, take, left, say
         self.connected = False
@@ -119,7 +120,7 @@
             if (
                 self.pace.failures <= 3 or self.pace.failures % 16 == 0
             ):  # not a line for each try of a long night
-                self.say(f"agent: {why}; again in {wait:.1f} s (failure {self.pace.failures})")
+                self.say("agent", why=why, again_in=round(wait, 1), failures=self.pace.failures)
             await asyncio.sleep(wait)
 
     async def _stream(self) -> None:
