Say in one line which requirements are missing where the operator's file needs them

Need: identities and records take libraries that the platform's build leaves out; without them the start ended in a traceback. Change: the module's name and the file to install, exit code 2. Test: both, with the library hidden.

--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -252,6 +252,8 @@
             if operator.admin is not None and self.keeper is not None:
                 admin = Admin(operator.tenants, self.keeper, operator.allow, self.status)
                 self.fronts.append(Front(operator.admin, admin.connection, self.clients))
+        except ImportError as problem:
+            raise config.BadConfig(missing(problem, "identities")) from problem
         except (OSError, BadIdentity) as problem:
             what = "cannot listen" if isinstance(problem, OSError) else "identity"
             raise config.BadConfig(f"operator's file: {what}: {problem}") from problem
@@ -260,9 +262,11 @@
         """Records from the first event on, where the operator's file wants them."""
         if self.operator is None or self.operator.records is None:
             return
-        from onyxpulley.incident.hooks import attach
-        from onyxpulley.incident.recorder import Recorder
-
+        try:
+            from onyxpulley.incident.hooks import attach
+            from onyxpulley.incident.recorder import Recorder
+        except ImportError as problem:
+            raise config.BadConfig(missing(problem, "incident")) from problem
         try:
             self.recorder = Recorder(self.conf.name, self.facade.settings.zone, self.operator.records)
         except OSError as problem:
@@ -343,6 +347,10 @@
             await asyncio.sleep(0.005)
 
 
+def missing(problem: ImportError, what: str) -> str:
+    return f"operator's file: {problem.name} is not installed: pip install -r requirements-{what}.txt"
+
+
 class Front(Listener):
     """A listener that speaks HTTP. Its connections count with the platform's clients."""
 
--- a/tests/test_identities.py
+++ b/tests/test_identities.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
 import ssl
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +17,7 @@
 from onyxpulley.config import BadConfig
 
 from .issuer import AgentStandIn, Domain, answer, response
-from .player import PATIENCE, Play, read_cases
+from .player import PATIENCE, SETTINGS, Play, free_port, read_cases
 
 FOLDER = Path(__file__).parent / "exchanges"
 CASES = read_cases(FOLDER / "identities.txt")
@@ -333,6 +337,25 @@
     assert rig.parties["c0"].connections > 2, "old connections were renewed"
 
 
+@pytest.mark.parametrize(("table", "module", "file"), [
+    ('[records]\nfolder = "r"\n', "pyarrow", "requirements-incident.txt"),
+    (OPERATOR.format(port=9, renew=9), "OpenSSL", "requirements-identities.txt"),
+])  # fmt: skip
+def test_what_is_not_installed_is_one_clear_line(table: str, module: str, file: str, tmp_path: Path) -> None:
+    (tmp_path / "boxes.toml").write_text("[boxes]\n")
+    (tmp_path / "operator.toml").write_text(table)
+    conf = {"listen": "127.0.0.1:9", "bulletin": "127.0.0.1:9", "settings": SETTINGS}
+    (tmp_path / "config.json").write_text(json.dumps(conf))
+    code = (
+        f"import sys; sys.modules[{module!r}] = None; from onyxpulley.program import main; sys.exit(main())"
+    )
+    env = {**os.environ, "GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"127.0.0.1:{free_port()}"}
+    env["ONYXPULLEY_OPERATOR"] = str(tmp_path / "operator.toml")
+    run = subprocess.run([sys.executable, "-c", code], env=env, capture_output=True, text=True, timeout=30)
+    (said,) = [line for line in run.stderr.splitlines() if line.startswith("onyxpulley: ")]
+    assert run.returncode == 2 and module in said and file in said and "Traceback" not in run.stderr
+
+
 HEAD = '[identities]\ntrust_domain = "letra.example"\n'
 BOXES = HEAD + 'workload_api = "unix:/x"\n[identities.servers]\n'
 
