Call a silent bulletin anew after two missed numbers, not after one that is half a second late

In the log all watches fall silent at about 6 s, and drains of six in ten caches are told at 8.0 s, before their successors are there:

Reason for the figure: the protocol gives the number each second; one that is late by half a second was taken for silence, as lists may come late. Two missed are silence. News counts 4 s after a stop at the earliest: 2.2 to 2.5 s, up to 0.75 s for a call that hangs and the call itself stay under that and the grace of a drain. A call that was silent stays open beside the new one for a second more (`DEAD`).

--- a/onyxpulley/news.py
+++ b/onyxpulley/news.py
@@ -14,9 +14,9 @@
 
 UID = re.compile(r"[!-+\--~]{1,128}")
 BAD = (ValueError, LookupError, TypeError, AttributeError, ArithmeticError, RecursionError)
-QUIET = 1.5  # seconds without a word, of which one comes each second: another call is made beside that one
+QUIET = 2.2  # seconds without a word: two numbers were missed, and another call is made beside that one
 SPREAD = 0.3  # seconds by which that varies: all routers hear the same silence
-DEAD = 2.5  # seconds without a word: the call is over
+DEAD = 3.5  # seconds without a word: the call is over
 PAUSE = 0.1, 0.5  # first and longest mean wait between two calls: what was told meanwhile counts already
 NOISE = 8  # bad lines in a row that are passed over: a call that brings nothing else is of no use
 CALLS = 4  # at a time: one may hang while the next ones are begun
