Show in the report when boxes are cold and how loaded they are

Need: the wish names warm-up and load; the report had the peak of the load as a number and no warm-up. Change: a run says at its start how long servers are cold; a started box is blue for that long, and its reports are a shade on its lane. Looked at as a picture.

--- a/onyxpulley/incident/fleet.py
+++ b/onyxpulley/incident/fleet.py
@@ -47,6 +47,7 @@
     zone: str = ""
     spans: list[Span] = field(default_factory=list)
     avoided: list[Span] = field(default_factory=list)  # while any router avoids it
+    warming: list[Span] = field(default_factory=list)  # cold after a start, as long as the settings say
     avoiders: set[str] = field(default_factory=set)
     boot: float = 0.0
     load: dict[int, float] = field(default_factory=dict)  # by bucket, the most that any router heard
@@ -86,6 +87,7 @@
         self.happenings: list[Happening] = []
         self.open: dict[tuple[str, str, str, float], Happening] = {}
         self.first = self.last = 0
+        self.cold = 0.0  # seconds
 
     # ---- Feeding, in the order of time
     def feed(self, entry: Entry) -> Happening | None:
@@ -159,6 +161,9 @@
             box.spans[-1].until = entry.time
         cold = record.value > 0 and record.value != box.boot and state == "ready"
         box.boot = record.value or box.boot
+        until = round((record.value / 1000 + self.cold) * SECOND)
+        if cold and until > entry.time:
+            box.warming.append(Span("warming", round(record.value * 1000), until))
         if state == "gone":
             box.avoiders.clear()
             if box.avoided and box.avoided[-1].until is None:
@@ -190,6 +195,7 @@
 
     def _phase(self, entry: Entry, record: Record, router: Router) -> Happening | None:
         if record.cause == "starting":
+            self.cold = record.value or self.cold
             router.runs += 1
             self._closes(router, entry.time)
             for box in self.boxes.values():  # a new run avoids nobody
--- a/onyxpulley/incident/records.py
+++ b/onyxpulley/incident/records.py
@@ -10,7 +10,9 @@
 
 
 class Kind(StrEnum):
-    PHASE = "phase"  # cause: the phase; of the program itself
+    PHASE = (
+        "phase"  # cause: the phase of the program itself; value, at the start: seconds that servers are cold
+    )
     RELOAD = "reload"  # cause: applied or rejected
     LIST = "list"  # server, cause: its state, value: when it was started (Unix ms) or 0, detail: kind@zone
     PURGE = "purge"  # value: when it was issued (Unix ms), detail: the object or group
--- a/onyxpulley/incident/report.py
+++ b/onyxpulley/incident/report.py
@@ -10,12 +10,13 @@
 from jinja2 import Environment, FileSystemLoader, select_autoescape
 
 from onyxpulley.incident.causes import Incident, incidents
-from onyxpulley.incident.fleet import Fleet, Span
+from onyxpulley.incident.fleet import BUCKET, Box, Fleet, Span
 from onyxpulley.incident.load import Case
 from onyxpulley.incident.merge import SECOND
 
 WIDTH, HEIGHT, LANE = 960, 130, 14  # pixels
 COLUMNS = 480  # of the charts: more seconds than that share one
+PARTS = 160  # of a box's load
 LINES = 400  # of the timeline
 BOXES = 120  # lanes shown: those to which something happened come first
 COLOURS = {"ready": "#7fb38a", "draining": "#d9a441", "gone": "#c9c9c9"}
@@ -97,6 +98,23 @@
     return f"median {at(50)} ms, 99th {at(99)} ms"
 
 
+def loads(box: Box, scale: Scale) -> list[Bar]:
+    """Its load in a part of the lane's height each, at most `PARTS` over the whole time."""
+    step = max(BUCKET, round(scale.span / SECOND / PARTS))
+    parts: dict[int, float] = {}
+    for bucket, value in box.load.items():
+        at = bucket * BUCKET // step
+        parts[at] = max(parts.get(at, 0.0), value)
+    peak, height = max(parts.values(), default=0.0), LANE - 4
+    bars = []
+    for at, value in sorted(parts.items()):
+        if value > 0:
+            x, tall = scale.x(at * step * SECOND), max(1.0, height * value / peak)
+            width = max(1.0, scale.x((at + 1) * step * SECOND) - x)
+            bars.append(Bar(x, width, height - tall, tall, "#2b4a3655", f"{value:.0f} requests in work"))
+    return bars
+
+
 def box_lanes(fleet: Fleet, scale: Scale) -> list[Lane]:
     busy = sorted(fleet.boxes.values(), key=lambda b: (-len(b.avoided), -len(b.spans), b.uid))[:BOXES]
     lanes = []
@@ -106,6 +124,8 @@
             for s in box.spans
         ]
         bars += [scale.bar(s, "#c0392b", "avoided by routers", 3, 4) for s in box.avoided]
+        bars += [scale.bar(s, "#8fb8de", "cold after its start") for s in box.warming]
+        bars += loads(box, scale)
         peak = max(box.load.values(), default=0.0)
         lanes.append(Lane(box.uid, f"{box.role} {box.zone}, at most {peak:.0f} in work", bars))
     return lanes
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -80,7 +80,8 @@
 
     def enter(self, phase: Phase) -> None:
         self.phase = phase
-        self.note("phase", phase.value)
+        cold = self.facade.settings.cold_time / 1e6 if phase is Phase.STARTING else 0.0
+        self.note("phase", phase.value, cold)
         self.clients.fit = self.fit()
         print(f"{self.conf.name}: {phase.value}", file=sys.stderr, flush=True)
 
@@ -273,11 +274,11 @@
             raise config.BadConfig(f"operator's file: records: {problem.strerror or problem}") from problem
         attach(self.recorder.tally, self.exchange, self.bulletin, self.facade)
 
-    def note(self, kind: str, cause: str) -> None:
+    def note(self, kind: str, cause: str, value: float = 0.0) -> None:
         if self.recorder is not None:
             from onyxpulley.incident.records import Kind
 
-            self.recorder.tally.event(Kind(kind), cause=cause)
+            self.recorder.tally.event(Kind(kind), cause=cause, value=value)
 
     def _identified(self, operator: Operator) -> None:
         """Who this router is and whom it trusts. Raises BadIdentity."""
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -47,7 +47,7 @@
         when = START + round((at + OFF[name]) * SECOND)
         rows.append(Record(len(rows), when, kind, **fields))  # type: ignore[arg-type]
 
-    add(0.0, Kind.PHASE, cause="starting")
+    add(0.0, Kind.PHASE, cause="starting", value=16.0)
     for uid in ("c0", "c1", "c2", "p0"):
         add(0.1, Kind.LIST, server=uid, cause="Ready", detail=f"{'parent' if uid == 'p0' else 'box'}@edge-1")
     add(0.2, Kind.PHASE, cause="serving")
@@ -65,6 +65,10 @@
                 cause="down",
                 detail=f"cache {silent} down after 3 failures",
             )
+        if second == 20:
+            boot = (START // SECOND + 19) * 1000.0
+            add(second - 0.3 + late, Kind.LIST, server="c9", cause="Ready", value=boot, detail="box@edge-1")
+        add(second, Kind.LOAD, server="c0", value=float(second % 7))
         if second == 45:
             add(44.5 + late, Kind.LIST, server=silent, cause="Gone", detail="box@edge-1")
         bad = 30 <= second - 1 < 36
@@ -118,6 +122,9 @@
     )
     line = {(who, what): at for at, who, what in told(case)}
     assert abs(line["c1", "down"] - 30.8) < 1 and abs(line["c1", "gone"] - 44.5) < 1
+    (warming,) = fleet.boxes["c9"].warming
+    assert [round((t - START) / SECOND) for t in (warming.since, warming.until or 0)] == [19, 35]
+    assert max(fleet.boxes["c0"].load.values()) == 6.0 and ("c9", "ready") in line
     assert len([h for h in fleet.happenings if h.who == "c1"]) == 2, "three tell of it, and it happened once"
 
 
@@ -230,7 +237,7 @@
     assert "c1: down" in some and "serving" not in some
     last = run("follow", folder, "--rounds", "1").output.splitlines()[-1]
     assert re.match(
-        r"-- \d\d requests a second, 0 of 1\d0 not served; boxes: 3 ready, 0 draining, 0 avoided", last
+        r"-- \d\d requests a second, 0 of 1\d0 not served; boxes: 4 ready, 0 draining, 0 avoided", last
     )
     assert run("report", folder, "-o", tmp_path / "r.html").exit_code == 0
     text = (tmp_path / "r.html").read_text()
