--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -205,9 +205,7 @@
                 heapq.heappush(self.timers, (self.clock() + action.delay, action.token))
             elif isinstance(action, api.Log):
                 self.say(action.text)
-            elif isinstance(
-                action, api.Ask | api.Fetch | api.Own | api.Refuse | api.Fail | api.Cancel
-            ):
+            elif isinstance(action, api.Ask | api.Fetch | api.Own | api.Refuse | api.Fail | api.Cancel):
                 request = self.live.get(action.id)
                 if request is not None:
                     orders += self._order(request, action)
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,136 @@
+"""The deployment that the stand-ins play: settings, servers and the JSON a router is started with."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+Json = dict[str, Any]
+
+SAFE, UNSAFE = "safe", "unsafe"
+LINK_BYTES_PER_S = 1_240_000
+FLOW_BYTES_PER_S = 310_000
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A class of requests. `deadline`: the longest that a client of it waits, seconds."""
+
+    name: str
+    effect: str
+    deadline: float
+    uncached: bool = False
+
+
+VIDEO = RequestClass("video-part", SAFE, 5.0)
+PAGE = RequestClass("page-file", SAFE, 3.0)
+JOB = RequestClass("convert-job", UNSAFE, 3.0, uncached=True)
+CLASSES = (VIDEO, PAGE, JOB)
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One server as discovery lists it."""
+
+    uid: str
+    endpoint: str
+    zone: str
+    model: str
+    state: str = "Ready"
+    boot_ms: int = 0
+
+    def row(self) -> Json:
+        return {
+            "uid": self.uid,
+            "endpoint": self.endpoint,
+            "az": self.zone,
+            "model": self.model,
+            "pod_group": 0,
+            "state": self.state,
+            "capacity_hint": 8,
+            "boot_ms": self.boot_ms,
+        }
+
+
+def settings(routers: int, classes: Sequence[RequestClass] = CLASSES) -> Json:
+    """The settings object, in the words of the platform. Times in microseconds."""
+    return {
+        "azs": ["hub", "edge-1"],
+        "zone": "edge-1",
+        "peersTotal": routers,
+        "shapes": ["box", "parent", "origin"],
+        "classes": [
+            {
+                "name": c.name,
+                "objective": int(min(0.5, c.deadline) * 1e6),
+                "aimStretch": 2.0,
+                "deadline": int(c.deadline * 1e6),
+                "idempotency": c.effect,
+                "group": "all",
+                "worth": 1,
+            }
+            for c in classes
+        ],
+        "familyInfo": {
+            "parentKind": 1,
+            "originKind": 2,
+            "flowKbPerS": 1000.0,
+            "crewByZone": [0, routers],
+            "bypassAllowed": True,
+            "canJoin": True,
+            "noteLevel": "all",
+            "goodFor": [0 if c.uncached else 20_000_000 for c in classes],
+            "staleFor": [0 for _ in classes],
+            "uncached": [c.uncached for c in classes],
+            "clearedWithin": 6_000_000,
+            "purgeGrace": 500_000,
+        },
+        "bounds": {
+            "secondCopies": True,
+            "cancelling": True,
+            "maxAttempts": 8,
+            "retryAfter": True,
+            "maxRetryAfter": 1_000_000,
+            "connectTimeout": 400_000,
+            "connIdle": 15_000_000,
+            "streamsPerConn": 100,
+        },
+        "safety": {"drainGrace": 250_000, "cold": 16_000_000, "coldFrom": 0.25, "tipMultiple": 4.0},
+        "stats": {"names": ["busy_reqs", "cpu_share"], "via": "answers"},
+        "weights": "nominal",
+    }
+
+
+def roster_event(number: int, servers: Sequence[Listed], full: bool) -> Json:
+    rows = [server.row() for server in servers]
+    return {"no": number, "roster": {"rev": number, "all": full, "targets": rows}}
+
+
+@dataclass(frozen=True, slots=True)
+class RouterSetup:
+    """What one router is told. `known`: the events of the start, numbered from 1."""
+
+    name: str
+    port: int
+    console_port: int
+    discovery: str
+    known: Sequence[Json]
+    settings: Json
+    seed: int
+    memory_mb: int = 96
+    sockets: int = 512
+
+    def config(self) -> Json:
+        return {
+            "name": self.name,
+            "listen": f"127.0.0.1:{self.port}",
+            "console": f"127.0.0.1:{self.console_port}",
+            "seed": f"{self.seed:016x}",
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
+            "bulletin": self.discovery,
+            "flow_bytes_per_s": FLOW_BYTES_PER_S,
+            "link_bytes_per_s": LINK_BYTES_PER_S,
+            "known": {"no": len(self.known), "items": list(self.known)},
+            "settings": self.settings,
+        }
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,144 @@
+"""System calls that fail for a moment, on the real process: every request that was taken gets its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+
+from soak.clients import ClientConnection
+from soak.rules import Violation
+from soak.servers import Mode
+from soak.shim import Call, Fault
+from soak.stage import Stage, StageSetup
+from soak.traffic import TrafficShape
+
+SEED = 20261203
+BURST, PAUSE, BURSTS = 0.25, 0.35, 6  # seconds that a call fails, seconds between, and how often
+LEAST_SERVED = 0.5  # share of the requests that are answered well, the least that the operators' gate wants
+
+Trouble = Callable[[Stage, int], None]
+
+
+def quiet(stage: Stage, burst: int) -> None:
+    """No trouble beside the failing calls."""
+
+
+def much_to_log(stage: Stage, burst: int) -> None:
+    """Requests of an unknown class on connections with others open, a new configuration, failing servers."""
+    for number, server in enumerate(stage.servers.values()):
+        server.mode = Mode.FAILING if number % 3 == burst % 3 and server.uid != "o" else Mode.SERVING
+    for traffic in stage.traffic.values():
+        stage.routers[traffic.router].reload()
+        for connection in filter(ClientConnection.has_room, traffic.connections):
+            record = traffic.new_record()
+            record.cls = "unknown"
+            stage.background(connection.send(record))
+
+
+def resetting_servers(stage: Stage, burst: int) -> None:
+    """Every connection to a server is reset under what is open on it, and has to be made anew."""
+    for server in stage.servers.values():
+        server.reset_all()
+
+
+def new_clients(stage: Stage, burst: int) -> None:
+    """Half of the clients go and come back on new connections."""
+    for traffic in stage.traffic.values():
+        for connection in traffic.connections[::2]:
+            connection.leave()
+
+
+async def run(stage: Stage, faults: list[Fault], trouble: Trouble) -> list[Violation]:
+    """Raises AssertionError where a fault never struck: such a run would show nothing."""
+    stage.start_traffic()
+    struck: Counter[Call] = Counter()
+    await asyncio.sleep(0.5)
+    for burst in range(BURSTS):
+        for shim in stage.shims.values():
+            for fault in faults:
+                shim.set(fault)
+        trouble(stage, burst)
+        await asyncio.sleep(BURST)
+        for shim in stage.shims.values():
+            for fault in faults:
+                struck[fault.call] += shim.clear(fault.call)
+        await asyncio.sleep(PAUSE)
+    for server in stage.servers.values():
+        server.mode = Mode.SERVING
+    await stage.settle()
+    assert all(struck[fault.call] for fault in faults), struck
+    return stage.verdict()
+
+
+def play(folder: Path, faults: list[Fault], trouble: Trouble = quiet, client_side: bool = False) -> None:
+    """Bursts of failing calls at two routers under traffic; no rule may be broken and service goes on."""
+
+    async def main() -> None:
+        setup = StageSetup(shape=TrafficShape(rate=80.0), routers=2)
+        async with Stage(folder, SEED, setup) as stage:
+            port = stage.routers["n0"].setup.port if client_side else 0
+            if client_side:
+                del stage.shims["n1"]
+            placed = [Fault(f.call, f.error, f.every, f.count, port, f.longest) for f in faults]
+            broken = await run(stage, placed, trouble)
+            assert not broken, "\n".join(map(str, broken[:5]))
+            records = [r for r in stage.evidence.requests.values() if r.replies]
+            served = sum(r.replies[0].word == "good" for r in records)
+            assert served >= LEAST_SERVED * len(records) > 100
+
+    asyncio.run(main())
+
+
+# Guards against client connections closed under open requests because no socket to a server could be made.
+def test_no_request_is_lost_while_no_socket_can_be_made(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.SOCKET, errno.ENFILE)], resetting_servers)
+
+
+# The same where the network has no buffers, and the options of a new socket cannot be set either.
+def test_no_request_is_lost_while_socket_options_fail(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.SETSOCKOPT, errno.ENOBUFS)], resetting_servers)
+
+
+# Guards against closing a client's connection, with all that is open on it, for one failed read.
+def test_no_request_is_lost_while_reads_from_clients_fail(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.RECV, errno.ENOBUFS, every=3)], client_side=True)
+
+
+# Guards against closing a client's connection for one failed write, also between the parts of a large answer.
+def test_no_request_is_lost_while_writes_to_clients_fail(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.SEND, errno.ENOBUFS, every=2)], client_side=True)
+
+
+# Guards against answers that are cut or sent twice where reads and writes move a few bytes at a time.
+def test_no_answer_is_spoilt_by_short_reads_and_writes(tmp_path: Path) -> None:
+    short = [Fault(Call.RECV, 0, every=2, longest=7), Fault(Call.SEND, 0, every=2, longest=301)]
+    play(tmp_path, short)
+
+
+# Guards against work that is dropped because a line of the log could not be written.
+def test_no_request_is_lost_while_the_log_cannot_be_written(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.LOG_WRITE, errno.ENOSPC)], much_to_log)
+
+
+# Guards against attempts that are never finished because the close of their connection failed.
+def test_no_request_is_lost_while_closing_fails(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.CLOSE, errno.EIO)], resetting_servers)
+
+
+# Guards against new connections that are closed or left waiting because accepting one of them failed.
+def test_no_request_is_lost_while_accepting_fails(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.ACCEPT, errno.ECONNABORTED, every=2)], new_clients)
+
+
+# Guards against sound connections to servers that end, and jobs that fail, for one failed call.
+def test_no_request_is_lost_while_calls_to_servers_fail(tmp_path: Path) -> None:
+    moment = [Fault(Call.RECV, errno.ENOMEM, every=5), Fault(Call.SEND, errno.EHOSTUNREACH, every=5)]
+    play(tmp_path, moment)
+
+
+# Guards against servers taken for dead because this machine had no address or route for a moment.
+def test_no_request_is_lost_while_connecting_fails(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.CONNECT, errno.EADDRNOTAVAIL)], resetting_servers)
