Log why connections close and requests fail, through a log that never raises

Callers saw connections closed under open requests, and the routers' logs had no line for it. One cause: a log line that could not be written (ENOSPC, EIO) raised OSError in the middle of the work that wrote it; the reader of whichever client was at work took it for the end of its connection. Lines now go through one handler that counts what it cannot write and says so later. The test of the limited log reads the descriptor instead of sys.stderr, as strictly.

--- a/onyxpulley/admin.py
+++ b/onyxpulley/admin.py
@@ -7,11 +7,11 @@
 
 import json
 import socket
-import sys
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+from onyxpulley import logs
 from onyxpulley.http import Call, Connection, Response, told
 from onyxpulley.spiffe.peers import Standing
 from onyxpulley.tenants import BadTenant, Tenant, Tenants, add_key, read_key, read_tenant
@@ -57,8 +57,8 @@
         except BadTenant as problem:
             return told(HTTPStatus.UNPROCESSABLE_ENTITY, {"error": str(problem)})
         if call.method not in ("GET", "HEAD"):
-            print(f"admin: {peer}: {call.method} {'/'.join(parts)[:200]!r}: {response.status.value}",
-                  file=sys.stderr, flush=True)  # fmt: skip
+            what = f"{call.method} {'/'.join(parts)[:200]!r}"
+            logs.say(f"admin: {peer}: {what}: {response.status.value}")
         return response
 
     def _route(self, call: Call, parts: list[str]) -> Response:
--- a/onyxpulley/bulletin.py
+++ b/onyxpulley/bulletin.py
@@ -6,11 +6,11 @@
 import contextlib
 import random
 import socket
-import sys
 import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from onyxpulley import logs
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Exchange
 from onyxpulley.facade import Facade, Member
@@ -74,7 +74,7 @@
 
 
 def say(text: str) -> None:
-    print(f"bulletin: {text}", file=sys.stderr, flush=True)
+    logs.say(f"bulletin: {text}")
 
 
 class Bulletin:
--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -5,12 +5,12 @@
 import asyncio
 import contextlib
 import socket
-import sys
 from collections import deque
 from collections.abc import Callable, Iterable
+from enum import Enum
 from typing import TYPE_CHECKING
 
-from onyxpulley import fields
+from onyxpulley import fields, logs, metrics
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
 from onyxpulley.listeners import FIRST, SILENT, Holder, Listener, make_room
@@ -39,6 +39,21 @@
 HEX = frozenset("0123456789abcdef")
 
 
+class CloseReason(Enum):
+    """Why a client's connection was closed."""
+
+    CLIENT_LEFT = "client_left"
+    MALFORMED = "malformed"
+    OVERDUE = "overdue"  # half a message for too long
+    READ_FAILED = "read_failed"
+    WRITE_FAILED = "write_failed"
+    UNREAD = "unread"  # the client left an answer unread for too long
+    MEMORY = "memory"
+    ROOM = "room"  # made way for another connection
+    IDLE = "idle"  # the router drains and owes it nothing
+    SHUTDOWN = "shutdown"
+
+
 class Malformed(Exception):
     """What came cannot be read as the protocol; nothing after it can."""
 
@@ -154,6 +169,7 @@
 
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
+        reason = CloseReason.CLIENT_LEFT
         try:
             while not self.closed:
                 got = await loop.sock_recv_into(self.sock, self.buffer.room())
@@ -167,11 +183,13 @@
                 elif self.spoke:
                     self.began = 0
         except (Malformed, BufferError) as problem:
+            reason = CloseReason.MALFORMED
             self.front.say(str(problem))
-        except OSError:
-            pass
+        except OSError as problem:
+            reason = CloseReason.READ_FAILED
+            metrics.count_failed_call("recv.client", problem)
         finally:
-            self.close()
+            self.close(reason)
 
     def _parse(self) -> None:
         buffer = self.buffer
@@ -255,6 +273,7 @@
 
     async def _write(self) -> None:
         loop = asyncio.get_running_loop()
+        reason = CloseReason.IDLE
         try:
             while not self.closed:
                 await self.wake.wait()
@@ -263,10 +282,13 @@
                     await self._batch(loop)
                 if self.front.leaving and self.asked and self.idle():
                     return  # a request that crosses this is sent again; one that is half here ends it later
-        except (OSError, TimeoutError):
-            pass
+        except TimeoutError:
+            reason = CloseReason.UNREAD
+        except OSError as problem:
+            reason = CloseReason.WRITE_FAILED
+            metrics.count_failed_call("send.client", problem)
         finally:
-            self.close()
+            self.close(reason)
 
     def overdue(self, now: int) -> bool:
         """Guards against those who connect and say nothing, or half of it, whatever else they have open."""
@@ -296,11 +318,15 @@
     def idle(self) -> bool:
         return self.spare() and self.buffer.start == self.buffer.end and not self.skip
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason = CloseReason.ROOM) -> None:
         """The client is gone, or is sent away: what it had open is given up."""
         if self.closed:
             return
         self.closed = True
+        metrics.count(f"client_closed.{reason.value}")
+        if self.open and reason is not CloseReason.CLIENT_LEFT:
+            ids = ",".join(request.txn for request in self.open.values())
+            logs.event("client", "closed_under_requests", reason=reason.value, open=len(self.open), ids=ids)
         self.front.all.discard(self)
         self.front.held -= self.held
         self.held = 0
@@ -345,7 +371,7 @@
     def _count(self) -> None:
         if now_us() - self.said_at > 1_000_000:
             if self.said > LINES:
-                print(f"client: {self.said - LINES} more like these", file=sys.stderr, flush=True)
+                logs.say(f"client: {self.said - LINES} more like these")
             self.said, self.said_at = 0, now_us()
 
     def sweep(self) -> None:
@@ -353,20 +379,20 @@
         self._count()
         for client in [c for c in self.all if c.overdue(now)]:
             self.say("no whole message in time")
-            client.close()
+            client.close(CloseReason.OVERDUE)
         parts = sorted((c for c in self.all if c.began), key=lambda c: c.still(now))
         held = sum(len(c.buffer.data) for c in parts)
         while held > self.limits.buffers:  # guards the memory against very many large halves of messages
             held -= len(parts[-1].buffer.data)
             self.say("too much of messages that are not whole")
-            parts.pop().close()
+            parts.pop().close(CloseReason.MEMORY)
 
     def say(self, why: str) -> None:
         """One line for the log; of very many in a second the rest is counted. Guards the log and the core."""
         self._count()
         self.said += 1
         if self.said <= LINES:
-            print(f"client: {why}"[:200], file=sys.stderr, flush=True)
+            logs.say(f"client: {why}"[:200])
 
     def welcome(self, sock: socket.socket) -> None:
         self.all.add(Client(self, sock))
@@ -375,15 +401,15 @@
         """Guards the memory against clients that do not read: the one that holds most goes."""
         worst = max(self.all, key=lambda c: c.held, default=None)
         if worst is not None:
-            print(f"client: {worst.held} bytes unread, closed", file=sys.stderr, flush=True)
-            worst.close()
+            logs.say(f"client: {worst.held} bytes unread, closed")
+            worst.close(CloseReason.MEMORY)
 
     def leave(self) -> None:
         """Clients are to go elsewhere: from now on each is closed as soon as nothing is open on it. Who
         never asked may stay for a while: it is the front with its STATUS, or a first request is coming."""
         self.leaving, now = True, now_us()
         for client in [c for c in self.all if c.idle() and (c.asked or now - c.used > FIRST)]:
-            client.close()
+            client.close(CloseReason.IDLE)
 
     def settle(self) -> None:
         """Guards against those that never fall idle: who asked lately gets its final answers, and the end."""
@@ -400,4 +426,4 @@
     def close(self) -> None:
         self.stop_listening()
         for client in list(self.all):
-            client.close()
+            client.close(CloseReason.SHUTDOWN)
--- a/onyxpulley/console.py
+++ b/onyxpulley/console.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable, Iterable
 
+from onyxpulley import metrics
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import now_us
 from onyxpulley.listeners import Listener
@@ -83,6 +84,8 @@
             return b"200 ready\n" if self.fit() else b"400 not ready\n"
         if word == "METRICS":
             return statsd(self.figures()) + b"EOF\n"
+        if word == "COUNTERS":
+            return statsd((name, value, "c") for name, value in metrics.counters()) + b"EOF\n"
         if word not in self.calls:
             return b"400 unknown call\n"
         problem = self.calls[word]()
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import Protocol
 
+from onyxpulley import logs, metrics
 from onyxpulley.copies import Copies, Copy
 
 
@@ -194,9 +195,11 @@
         request.key, request.taken = f"q{self.serial}", now_us()
         self.bodies += len(request.body)  # both bound the memory of all open requests together
         if (self.closing and not first) or self._full():
+            metrics.count("refused.closing" if self.closing else "refused.full")
             self._answer(request, Answer(Verdict.REFUSED, later=self.decider.stay_away()))
             return
         if request.txn in self.txns:  # servers know a request by it: two would get each other's answers
+            metrics.count("failed.id_in_use")
             self._answer(request, Answer(Verdict.FAILED))
             return
         self.open[request.key] = request
@@ -250,6 +253,7 @@
         if self.seen is not None:
             took = now_us() - attempt.begun
             self.seen.attempted(attempt.server, report.outcome.value, took, report.load)
+        metrics.count(f"attempt.{report.outcome.name.lower()}")
         if report.outcome.never_ran:
             request.maybe_ran = any(a.written for a in request.attempts if a is not attempt)
             attempt.written = False
@@ -329,10 +333,27 @@
             return
         self._end(request)
         self.answers[request.cls, answer.verdict] += 1
+        if answer.verdict is not Verdict.SERVED:
+            self._log_unserved(request, answer)
         if self.seen is not None:
             self.seen.answered(request.cls, answer.verdict.value, now_us() - request.taken)
         request.reply(answer)
 
+    @staticmethod
+    def _log_unserved(request: Request, answer: Answer) -> None:
+        took = (now_us() - request.taken) // 1000
+        left = (request.due - now_us()) // 1000
+        logs.event(
+            "request",
+            answer.verdict.value,
+            id=request.txn,
+            cls=request.cls,
+            attempts=request.made,
+            may_have_run=request.maybe_ran,
+            took_ms=took,
+            left_ms=left,
+        )
+
     def _end(self, request: Request) -> None:
         request.ended = True
         if self.open.pop(request.key, None) is not None:
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import heapq
-import sys
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
 from onyxpulley import interface as api
+from onyxpulley import logs
 from onyxpulley.config import BadConfig
 from onyxpulley.control import Router
 from onyxpulley.core import (
@@ -69,7 +69,7 @@
         self.router = Router(self.settings, seed)
         self.live: dict[str, Request] = {}
         self.timers: list[tuple[int, int]] = []
-        self.say: Callable[[str], None] = lambda text: print(text, file=sys.stderr, flush=True)
+        self.say: Callable[[str], None] = logs.say
 
     def configure(self, params: Json, own_transfers: float, memo: int) -> None:
         """Other settings from now on. Raises BadConfig on those that would change what servers are to it."""
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import sys
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -14,6 +13,7 @@
 
 import httptools
 
+from onyxpulley import logs
 from onyxpulley.core import now_us
 from onyxpulley.listeners import SILENT
 from onyxpulley.wires import Stream
@@ -194,7 +194,7 @@
         try:
             return await self.handler(call)
         except Exception as problem:  # one bad call must not end the program; its text may hold a token
-            print(f"http: {type(problem).__name__} in a call", file=sys.stderr, flush=True)
+            logs.say(f"http: {type(problem).__name__} in a call")
             return Response(HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def close(self) -> None:
--- a/onyxpulley/incident/recorder.py
+++ b/onyxpulley/incident/recorder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 import threading
 import time
 from collections.abc import Sequence
@@ -11,6 +10,7 @@
 
 import pyarrow as pa
 
+from onyxpulley import logs
 from onyxpulley.incident.files import SUFFIX, batch_of, schema_of
 from onyxpulley.incident.keep import Keep
 from onyxpulley.incident.records import Origin, Record
@@ -94,7 +94,7 @@
             except (OSError, pa.ArrowException) as problem:  # a full disk: the router goes on without
                 self.failed += 1
                 if self.failed in (1, 10, 100) and rows is not None:
-                    print(f"records: not written: {problem}"[:200], file=sys.stderr, flush=True)
+                    logs.say(f"records: not written: {problem}"[:200])
 
     def _prune(self) -> None:
         own = self._path(0).name.rsplit("-", 2)[0]
--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -7,10 +7,11 @@
 import ctypes
 import socket
 import struct
-import sys
 from collections.abc import Iterable
 from typing import Protocol
 
+from onyxpulley import logs, metrics
+
 SILENT = 4  # times that silence counts on a connection that never said anything: half fails slow requests
 FIRST = 1_000_000  # us that a connection without a request is left when the router leaves
 PAUSE = 0.05  # after a failed accept, mostly for want of descriptors
@@ -73,7 +74,8 @@
             try:
                 sock, _ = await loop.sock_accept(self.sock)
             except OSError as problem:
-                print(f"accept: {problem}", file=sys.stderr, flush=True)
+                metrics.count_failed_call("accept", problem)
+                logs.event("listener", "accept_failed", why=problem)
                 await asyncio.sleep(PAUSE)
                 continue
             self._take(sock)
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -7,7 +7,6 @@
 import os
 import random
 import signal
-import sys
 import time
 from collections.abc import Awaitable, Callable
 from enum import Enum
@@ -16,7 +15,7 @@
 
 import uvloop
 
-from onyxpulley import config
+from onyxpulley import config, logs
 from onyxpulley.bulletin import Bulletin
 from onyxpulley.clients import Clients
 from onyxpulley.console import Console, Figure
@@ -83,7 +82,7 @@
         cold = self.facade.settings.cold_time / 1e6 if phase is Phase.STARTING else 0.0
         self.note("phase", phase.value, cold)
         self.clients.fit = self.fit()
-        print(f"{self.conf.name}: {phase.value}", file=sys.stderr, flush=True)
+        logs.say(f"{self.conf.name}: {phase.value}")
 
     def fit(self) -> bool:
         """Takes new work: serving, and able to show the servers who it is."""
@@ -160,7 +159,7 @@
         except config.BadConfig as problem:
             self.reloads["rejected"] += 1
             self.note("reload", "rejected")
-            print(f"{old.name}: reload: kept the old settings: {problem}", file=sys.stderr, flush=True)
+            logs.say(f"{old.name}: reload: kept the old settings: {problem}")
             return
         new.limits.signature_boxes = old.limits.signature_boxes  # of the operator's file
         old.limits.take(new.limits)
@@ -170,8 +169,8 @@
         self.bulletin.move(new.bulletin)
         self.reloads["applied"] += 1
         self.note("reload", "applied")
-        print(f"{new.name}: reloaded, bulletin {':'.join(map(str, new.bulletin))} after {self.bulletin.no}",
-              file=sys.stderr, flush=True)  # fmt: skip
+        host, port = new.bulletin
+        logs.say(f"{new.name}: reloaded, bulletin {host}:{port} after {self.bulletin.no}")
 
     # ---- The staff's calls
     def pause(self) -> str:
@@ -418,5 +417,5 @@
             operator = load(Path(os.environ["ONYXPULLEY_OPERATOR"]))
         return uvloop.run(serve(conf, operator))
     except config.BadConfig as problem:
-        print(f"onyxpulley: {problem}", file=sys.stderr, flush=True)
+        logs.say(f"onyxpulley: {problem}")
         return 2
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import socket
-import sys
 import time
 from collections import deque
 from typing import TYPE_CHECKING
 
-from onyxpulley import fields
+from onyxpulley import fields, logs, metrics
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Attempt, Exchange, Outcome, Report, now_us
 from onyxpulley.wires import Listed, Trust, Wire
@@ -133,7 +132,7 @@
                 self._parse()
         except (OSError, BufferError, ValueError) as problem:
             if not isinstance(problem, OSError):
-                print(f"server {self.pool.uid}: bad answer: {problem}", file=sys.stderr, flush=True)
+                logs.say(f"server {self.pool.uid}: bad answer: {problem}")
         finally:
             self.close(why)
 
@@ -244,6 +243,10 @@
             return
         self.closed = True
         self.pool.lanes.remove(self)
+        metrics.count(f"server_closed.{why.value}")
+        if self.out:
+            ids = ",".join(self.out)
+            logs.event("server", "closed_under_requests", server=self.pool.uid, reason=why.value, ids=ids)
         current = asyncio.current_task()
         for task in self.tasks:
             if task is not current:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -83,12 +83,12 @@
     assert limits.clients + limits.lanes + config.SPARE <= sockets and limits.clients > sockets // 3
 
 
-def test_very_many_bad_clients_fill_no_log(capsys: pytest.CaptureFixture[str]) -> None:
+def test_very_many_bad_clients_fill_no_log(capfd: pytest.CaptureFixture[str]) -> None:
     clients = Clients.__new__(Clients)
     clients.said, clients.said_at = 0, 10**18
     for _ in range(10 * LINES):
         clients.say("bad")
     clients.said_at = -(10**18)
     clients.say("bad")
-    lines = capsys.readouterr().err.splitlines()
+    lines = capfd.readouterr().err.splitlines()
     assert len(lines) == LINES + 2 and f"{9 * LINES} more" in lines[-2]
