Keep a failed socket call within its own connection and its own request

Callers saw connections closed, and requests that got no answer until their deadline, while no socket could be made (ENFILE, ENOBUFS). Cause: socket() was called while an order was carried out, so its error went up through the exchange into whatever task was at work. A client's reader took it for the end of its own connection; orders behind the failed one were dropped, so other requests waited for nothing. Now a connection makes its socket in its own task and tries again within the connect time-out; what waits on it goes to connections that are up. An attempt that this machine could not connect ends as 'not connected': it never ran, and no server is blamed. The exchange answers the request whose order or decision fails, and carries out the others.

--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -43,7 +43,6 @@
 REPORT_SPAN = 2_000 * MS  # memory of a load report: half forgets between two, double refuses at idle caches
 HEAT_SPAN = 3_000 * MS  # memory of an object's own load: half is chance, double meets a rush too late
 HEAT_PART = 0.5  # part of one cache's fair load that an object may be before it goes to more than one
-PROOFS = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NEVER_SENT, Outcome.MISS)  # that it never ran
 NO_FILL = (Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.SOURCE_LACKS, Note.ORIGIN_FAILED)
 RARE = 0.3  # weight of one sample that comes alone, at most: half learns late, double jumps at chance
 OWN_PART = 0.7  # part of the aim in which the router's own link must be done: 1.0 risks the aim in a rush
@@ -682,7 +681,7 @@
         self.note_fill(attempt, event)
         if out is Outcome.SERVED:
             self.learn(attempt, event)
-        elif out not in (Outcome.CANCELLED, Outcome.NEVER_SENT, Outcome.MISS):
+        elif out not in (Outcome.CANCELLED, Outcome.NEVER_SENT, Outcome.MISS, Outcome.NOT_CONNECTED):
             self.blame(attempt, event, note)
         else:
             if out is Outcome.MISS:
@@ -690,7 +689,7 @@
             for party in (attempt.server, attempt.source):
                 if party is not None:
                     party.trial = False
-        if out in PROOFS and not job.open and attempt.first:  # any counts, not just that of the first attempt
+        if out in api.NEVER_RAN and not job.open and attempt.first:  # of any attempt, not just the first
             job.ran = False
         if event.over:
             for other in job.open.values():
@@ -711,7 +710,8 @@
         chance = out is Outcome.ERROR and note == Note.NONE and server.failing < STAY
         once_more = safe and (out is Outcome.BROKEN or chance) and self.usable(server) and not job.stayed
         job.stayed = job.stayed or once_more
-        if not once_more and (out is not Outcome.MISS or source is not None):
+        at_fault = out is not Outcome.NOT_CONNECTED and (out is not Outcome.MISS or source is not None)
+        if not once_more and at_fault:
             job.bad.add(source.id if lacks and source is not None else server.id)
         if out is Outcome.NEVER_SENT or job.held or self.retries < 1.0:
             self.give_up(job)
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -31,10 +31,16 @@
     UNREACHABLE = "unreachable"
     BROKEN = "broken"
     ABORTED = "aborted"
+    NOT_CONNECTED = "not connected"  # this machine had no socket, buffer or address for a connection
 
     @property
     def never_ran(self) -> bool:
-        return self in (Outcome.ABSENT, Outcome.FULL, Outcome.MOOT, Outcome.UNREACHABLE)
+        return self in NEVER_RAN
+
+
+NEVER_RAN = frozenset(
+    {Outcome.ABSENT, Outcome.FULL, Outcome.MOOT, Outcome.UNREACHABLE, Outcome.NOT_CONNECTED}
+)
 
 
 class Verdict(Enum):
@@ -205,7 +211,7 @@
         self.open[request.key] = request
         self.txns.add(request.txn)
         request.own = self.copies.find((request.cls, request.item, request.part))
-        self.run(self.decider.pick(request))
+        self._decide(request, lambda: self.decider.pick(request))
 
     def _full(self) -> bool:
         return len(self.open) >= self.bounds.most_open or self.bodies > self.bounds.bodies
@@ -215,7 +221,7 @@
         if request.ended:
             return
         self._end(request)
-        self.run(self.decider.left(request))
+        self._decide(request, lambda: self.decider.left(request))
         self._withdraw(request)
 
     def settle_all(self) -> None:
@@ -224,7 +230,7 @@
             self.settle(request)
 
     def settle(self, request: Request) -> None:
-        self.run(self.decider.settle(request))
+        self._decide(request, lambda: self.decider.settle(request))
 
     # ---- Called by the carrier
     def clear(self, attempt: Attempt) -> bool:
@@ -262,7 +268,7 @@
             self._answer(request, Answer(Verdict.SERVED, report.body, report.tag, report.same))
             if self.decider.keeps(request.cls):
                 self._keep(request, report)
-        self.run(self.decider.report(attempt, report, over=request.ended))
+        self._decide(request, lambda: self.decider.report(attempt, report, over=request.ended))
         if served:
             self._withdraw(request)
 
@@ -291,11 +297,35 @@
             while self._queue:
                 todo, self._queue = self._queue, []
                 for order in todo:
-                    self._one(order)
+                    self._contained(order)
         finally:
             self._busy = False
         self._set_alarm()
 
+    def _decide(self, request: Request, decision: Callable[[], Sequence[Order]]) -> None:
+        """Carries out what a decision orders. One that fails ends its own request with an answer and nobody
+        else's: the caller may be the connection of another client."""
+        try:
+            orders = decision()
+        except Exception as problem:
+            self._fail(request, problem)
+            return
+        self.run(orders)
+
+    def _contained(self, order: Order) -> None:
+        """The same for one order: those behind it are carried out all the same."""
+        try:
+            self._one(order)
+        except Exception as problem:
+            self._fail(order.request if isinstance(order, Settle) else order.attempt.request, problem)
+
+    def _fail(self, request: Request, problem: Exception) -> None:
+        metrics.count(f"internal_error.{type(problem).__name__}")
+        logs.event("core", "internal_error", id=request.txn, why=repr(problem))
+        if not request.ended:
+            self._answer(request, Answer(Verdict.FAILED, may_have_run=request.maybe_ran))
+        self._withdraw(request)
+
     def _one(self, order: Order) -> None:
         if isinstance(order, Settle):
             order.answer.may_have_run = order.request.maybe_ran
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -36,6 +36,7 @@
     Outcome.UNREACHABLE: api.Outcome.UNREACHABLE,
     Outcome.BROKEN: api.Outcome.BROKEN,
     Outcome.ABORTED: api.Outcome.CANCELLED,
+    Outcome.NOT_CONNECTED: api.Outcome.NOT_CONNECTED,
 }
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
 
--- a/onyxpulley/interface.py
+++ b/onyxpulley/interface.py
@@ -21,6 +21,13 @@
     CANCELLED = "cancelled"
     NEVER_SENT = "never sent"
     MISS = "miss"
+    NOT_CONNECTED = "not connected"  # for want of something on this machine: it says nothing of the server
+
+
+# The outcomes that prove that an attempt never ran.
+NEVER_RAN = frozenset(
+    {Outcome.FULL, Outcome.UNREACHABLE, Outcome.NEVER_SENT, Outcome.MISS, Outcome.NOT_CONNECTED}
+)
 
 
 class Note(IntEnum):
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -11,7 +11,8 @@
 from onyxpulley import fields, logs, metrics
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Attempt, Exchange, Outcome, Report, now_us
-from onyxpulley.wires import Listed, Trust, Wire
+from onyxpulley.system_calls import Meaning, meaning_of, next_pause
+from onyxpulley.wires import Listed, Trust, Wire, close_quietly
 
 if TYPE_CHECKING:
     from onyxpulley.config import Limits
@@ -35,6 +36,7 @@
 MOST_FOR = 5_000_000  # us for which a server that took no more connections is believed
 USUAL = 0.1  # weight of one answer in the running mean of the time that they take
 TRIES = 2  # connections that an attempt may wait for in vain
+LACKING_FOR = 50_000  # us for which no further connection is begun beside those that are up
 
 
 class Lane:
@@ -42,9 +44,8 @@
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setblocking(False)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock: socket.socket | None = None
+        self.lacking = False  # no connection could be made yet for want of something on this machine
         self.wire: Wire | None = None
         self.buffer = Buffer(16_384, LONGEST + 2 * LINE)
         self.out: dict[str, Attempt] = {}
@@ -110,16 +111,42 @@
         self.wake.set()
 
     # ---- One task connects and reads, another writes
-    async def _run(self) -> None:
+    async def _connect(self) -> socket.socket:
+        """Tries again after an error that may pass, unless another connection can take what waits here.
+        Raises OSError where it may not."""
         loop = asyncio.get_running_loop()
+        pause = 0.0
+        while True:
+            try:
+                self.sock = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                sock.setblocking(False)
+                self.lacking = False
+                await loop.sock_connect(sock, self.pool.address)
+                return sock
+            except OSError as problem:
+                metrics.count_failed_call("connect.server", problem)
+                meaning = meaning_of(problem)
+                self.lacking = meaning is Meaning.LOCAL
+                if meaning is Meaning.ENDED or (self.lacking and self.pool.lacks_a_socket(self)):
+                    raise
+            self._close_socket()
+            pause = next_pause(pause)
+            await asyncio.sleep(pause)
+
+    def _close_socket(self) -> None:
+        sock, self.sock = self.sock, None
+        if sock is not None:
+            close_quietly(sock)
+
+    async def _run(self) -> None:
         why = Outcome.BROKEN
         try:
             try:
                 async with asyncio.timeout(self.pool.limits.connect_timeout):
-                    await loop.sock_connect(self.sock, self.pool.address)
-                self.wire = wire = await self.pool.servers.trust.secure(self.pool.uid, self.sock)
+                    sock = await self._connect()
+                self.wire = wire = await self.pool.servers.trust.secure(self.pool.uid, sock)
             except (OSError, TimeoutError):
-                why = Outcome.UNREACHABLE
+                why = Outcome.NOT_CONNECTED if self.lacking else Outcome.UNREACHABLE
                 return
             self.up, self.heard = True, now_us()
             self.tasks.add(asyncio.create_task(self._write(wire)))
@@ -256,7 +283,7 @@
         if self.wire is not None:
             self.wire.close()
             self.wire = None
-        self.sock.close()
+        self._close_socket()
         out, waiting = list(self.out.values()), list(self.waiting)
         self.out.clear()
         self.waiting.clear()
@@ -277,6 +304,7 @@
         self.address = (host, int(port))
         self.lanes: list[Lane] = []
         self.most, self.most_at = LANES, 0
+        self.lacked_at = -LACKING_FOR  # when a connection last failed for want of something on this machine
         self.wants_signature = uid in self.limits.signature_boxes
 
     def read_load(self, text: str) -> tuple[float, ...]:
@@ -298,7 +326,8 @@
         if best is None or best.load() >= (1 if attempt.once else SHARED):
             if now - self.most_at > MOST_FOR:
                 self.most = LANES  # it took no more connections then; it may now
-            if len(self.lanes) < self.most and self.servers.room():
+            lacking = bool(fit) and now - self.lacked_at < LACKING_FOR
+            if len(self.lanes) < self.most and not lacking and self.servers.room():
                 best = Lane(self)
                 self.lanes.append(best)
         if best is None:
@@ -309,12 +338,27 @@
             return
         best.push(attempt)
 
+    def others(self) -> list[Lane]:
+        """Connections that are up and may take what could not go elsewhere."""
+        return [lane for lane in self.lanes if lane.up and lane.fit(now_us(), 10**5, 10**6)]
+
+    def lacks_a_socket(self, lane: Lane) -> bool:
+        """Notes that this machine could not make a connection. Can others take what waits on this one?"""
+        self.lacked_at = now_us()
+        return any(other is not lane for other in self.others())
+
     def again(self, attempt: Attempt, why: Outcome) -> None:
         """Its connection never came up, or ended before it was written: nothing ran."""
         if attempt.ended:
             return
         attempt.waits += 1
-        others = [lane for lane in self.lanes if lane.up and lane.fit(now_us(), 10**5, 10**6)]
+        others = self.others()
+        if why is Outcome.NOT_CONNECTED:
+            if others:
+                min(others, key=Lane.load).push(attempt)
+            else:
+                self.exchange.finish(attempt, Report(why))
+            return
         if why is Outcome.UNREACHABLE and others:
             self.most, self.most_at = max(1, len(self.lanes)), now_us()  # it accepts no more
         if attempt.waits < TRIES and (why is Outcome.BROKEN or others):
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -250,7 +250,7 @@
     sent: list[bytes] = []
 
     async def play() -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
+        with socket.create_server(("127.0.0.1", 0)) as listener, socket.socket() as sock:
             rig = Rig(9)
             rig.servers.listed("c0", f"127.0.0.1:{listener.getsockname()[1]}", "Gone")
             rig.servers.listed("c0", f"127.0.0.1:{listener.getsockname()[1]}", "Ready")
@@ -267,9 +267,9 @@
                     sent.append(data)
                     rig.bulletin.apply(event(roster(2, {"c0": "Terminating"})))
 
-            await lane._batch(Slow(lane.sock))
+            await lane._batch(Slow(sock))
             assert first.written and not second.ended
-            await lane._batch(Slow(lane.sock))
+            await lane._batch(Slow(sock))
             assert not second.written and second.ended
             rig.servers.close()
             await asyncio.sleep(0)
--- a/tests/test_write.py
+++ b/tests/test_write.py
@@ -4,7 +4,7 @@
 
 from onyxpulley import interface as api
 
-from .helpers import SEC, START, World, entries, fetch, finals, with_settings
+from .helpers import SEC, START, World, entries, fetch, finals, sends, with_settings
 
 
 def recheck(world: World, name: str, after: int = 0) -> int | None:
@@ -89,3 +89,15 @@
     assert isinstance(finals(world.router.settle(START + 1, safe))[0], api.Refuse)
     assert isinstance(finals(world.router.settle(START + 1, job))[0], api.Fail)
     assert not world.router.settle(START + 2, job)
+
+
+# Guards against a server that is blamed, or a job that fails, because this machine could make no connection.
+def test_a_connection_that_could_not_be_made_here_blames_no_server() -> None:
+    world = World()
+    name, actions = world.ask(cls="sign")
+    first = sends(actions)[0]
+    for attempt in range(4):
+        actions = world.end(name, sends(actions)[0], api.Outcome.NOT_CONNECTED, attempt=attempt)
+        assert sends(actions)[0].server == first.server
+    server = world.router.servers[first.server]
+    assert not server.fails and not server.down_until and world.router.usable(server)
