Make a failed read or write again instead of closing a sound connection

Callers saw connections closed under all open requests, large answers cut short, and jobs that failed, where one recv or send gave ENOBUFS, ENOMEM, EHOSTUNREACH or ETIMEDOUT. Cause: any OSError of a read or write was taken for the end of the connection, and sock_sendall does not tell how much of an answer had left, so nothing could go on behind it. It sends with sock.send and the loop's writer callback, since sock_sendall hides its progress. An attempt counts as begun when its first byte has left, so an error before that moves it to another connection.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -14,6 +13,7 @@
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
 from onyxpulley.listeners import FIRST, SILENT, Holder, Listener, make_room
+from onyxpulley.streams import SocketStream
 
 if TYPE_CHECKING:
     from onyxpulley.config import Limits
@@ -154,7 +154,7 @@
     """One connection of a client."""
 
     def __init__(self, front: Clients, sock: socket.socket) -> None:
-        self.front, self.sock = front, sock
+        self.front, self.stream = front, SocketStream(sock, "client")
         self.buffer = Buffer(4_096, BODY + 8 * HEAD)
         self.open: dict[bytes, Request] = {}
         self.out: deque[bytes] = deque()
@@ -168,11 +168,10 @@
         self.tasks = {asyncio.create_task(self._read()), asyncio.create_task(self._write())}
 
     async def _read(self) -> None:
-        loop = asyncio.get_running_loop()
         reason = CloseReason.CLIENT_LEFT
         try:
             while not self.closed:
-                got = await loop.sock_recv_into(self.sock, self.buffer.room())
+                got = await self.stream.receive_into(self.buffer.room())
                 if not got:
                     break
                 self.buffer.end += got
@@ -185,9 +184,8 @@
         except (Malformed, BufferError) as problem:
             reason = CloseReason.MALFORMED
             self.front.say(str(problem))
-        except OSError as problem:
+        except OSError:
             reason = CloseReason.READ_FAILED
-            metrics.count_failed_call("recv.client", problem)
         finally:
             self.close(reason)
 
@@ -272,21 +270,19 @@
             self.front.shed()
 
     async def _write(self) -> None:
-        loop = asyncio.get_running_loop()
         reason = CloseReason.IDLE
         try:
             while not self.closed:
                 await self.wake.wait()
                 self.wake.clear()
                 while self.out:
-                    await self._batch(loop)
+                    await self._batch()
                 if self.front.leaving and self.asked and self.idle():
                     return  # a request that crosses this is sent again; one that is half here ends it later
         except TimeoutError:
             reason = CloseReason.UNREAD
-        except OSError as problem:
+        except OSError:
             reason = CloseReason.WRITE_FAILED
-            metrics.count_failed_call("send.client", problem)
         finally:
             self.close(reason)
 
@@ -298,7 +294,7 @@
         """Nothing is owed to it, though half a message may be here."""
         return not self.open and not self.held
 
-    async def _batch(self, loop: asyncio.AbstractEventLoop) -> None:
+    async def _batch(self) -> None:
         """Apart from its task, which would hold on to the bytes while it waits for the next answer."""
         batch = [self.out.popleft()]
         size = len(batch[0])
@@ -306,7 +302,7 @@
             size += len(self.out[0])
             batch.append(self.out.popleft())
         async with asyncio.timeout(STALL):
-            await loop.sock_sendall(self.sock, batch[0] if len(batch) == 1 else b"".join(batch))
+            await self.stream.send_all(batch[0] if len(batch) == 1 else b"".join(batch))
         self.held -= size
         self.front.held -= size
         self.used = now_us()
@@ -337,8 +333,7 @@
                 task.cancel()
         self.tasks.clear()  # with them goes what would keep a closed connection until a collection
         self.buffer = Buffer(0, 0)
-        with contextlib.suppress(OSError):
-            self.sock.close()
+        self.stream.close()
         gone = list(self.open.values())
         self.open.clear()
         for request in gone:
--- a/onyxpulley/console.py
+++ b/onyxpulley/console.py
@@ -11,6 +11,7 @@
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import now_us
 from onyxpulley.listeners import Listener
+from onyxpulley.streams import SocketStream
 
 CALLS = 16  # connections at a time
 LINE = 256
@@ -28,39 +29,37 @@
     """One connection, one call."""
 
     def __init__(self, console: Console, sock: socket.socket) -> None:
-        self.console, self.sock, self.began = console, sock, now_us()
+        self.console, self.stream, self.began = console, SocketStream(sock, "console"), now_us()
         self.buffer = Buffer(LINE, LINE)
         self.called = False  # the whole line came
         self.task = asyncio.create_task(self._run())
 
     async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
         try:
             while (line := self.buffer.line(LINE - 1)) is None:
-                got = await loop.sock_recv_into(self.sock, self.buffer.room())
+                got = await self.stream.receive_into(self.buffer.room())
                 if not got:
                     return
                 self.buffer.end += got
             self.called = True
-            await self._send(loop, self.console.answer(line))
+            await self._send(self.console.answer(line))
         except BufferError:
             with contextlib.suppress(OSError, TimeoutError):
-                await self._send(loop, b"400 line too long\n")
+                await self._send(b"400 line too long\n")
         except (OSError, TimeoutError):
             pass
         finally:
             self.close()
 
-    async def _send(self, loop: asyncio.AbstractEventLoop, data: bytes) -> None:
+    async def _send(self, data: bytes) -> None:
         async with asyncio.timeout(STALL):
-            await loop.sock_sendall(self.sock, data)
+            await self.stream.send_all(data)
 
     def close(self) -> None:
         self.console.all.discard(self)
         if self.task is not asyncio.current_task():
             self.task.cancel()
-        with contextlib.suppress(OSError):
-            self.sock.close()
+        self.stream.close()
 
 
 class Console(Listener):
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -234,8 +234,8 @@
 
     # ---- Called by the carrier
     def clear(self, attempt: Attempt) -> bool:
-        """At the write. Guards against a drain, a purge, a cold start or an expiry while it was queued, also
-        against one that was told but waits unread behind the work of this moment."""
+        """Right before its first byte. Guards against a drain, a purge, a cold start or an expiry since it
+        was queued, also against one that was told but waits unread behind the work of this moment."""
         self.heed()
         if attempt.ended or attempt.request.ended:
             return False
@@ -247,9 +247,13 @@
         if not self.decider.recheck(attempt):
             self.finish(attempt, Report(Outcome.FULL))
             return False
-        attempt.written = attempt.request.maybe_ran = True
         return True
 
+    @staticmethod
+    def begun(attempt: Attempt) -> None:
+        """Its first byte has left: from now on it may run."""
+        attempt.written = attempt.request.maybe_ran = True
+
     def finish(self, attempt: Attempt, report: Report) -> None:
         """The end of an attempt; whatever comes after the first is ignored."""
         if attempt.ended:
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -16,7 +16,7 @@
 from onyxpulley import logs
 from onyxpulley.core import now_us
 from onyxpulley.listeners import SILENT
-from onyxpulley.wires import Stream
+from onyxpulley.streams import Stream
 
 URL = 8_192
 HEADERS = 16_384
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -11,8 +11,9 @@
 from onyxpulley import fields, logs, metrics
 from onyxpulley.buffers import Buffer
 from onyxpulley.core import Attempt, Exchange, Outcome, Report, now_us
+from onyxpulley.streams import close_quietly
 from onyxpulley.system_calls import Meaning, meaning_of, next_pause
-from onyxpulley.wires import Listed, Trust, Wire, close_quietly
+from onyxpulley.wires import Listed, Trust, Wire
 
 if TYPE_CHECKING:
     from onyxpulley.config import Limits
@@ -174,30 +175,46 @@
             self.close(Outcome.BROKEN)
 
     async def _batch(self, wire: Wire) -> None:
-        """One attempt at the most, with what is to be given up before it. Guards against a server that reads
-        slowly: what waits behind a write is checked when its own first byte can go. Apart from its task,
-        which would hold on to requests and bytes while it waits."""
-        batch, sent = list[bytes](), 0
-        while self.waiting and not sent:
-            what = self.waiting.popleft()
-            piece = self._encode(what)
-            batch.append(piece)
-            sent += bool(piece) and isinstance(what, Attempt)
-        if any(batch):
-            await wire.send_all(b"".join(batch))
-            self.pool.servers.forwards += sent
-
-    def _encode(self, what: Attempt | bytes) -> bytes:
-        """The rules are checked once more here, at the write."""
-        if isinstance(what, bytes):
-            return what
+        """One attempt at the most, with what is to be given up before it. What waits behind a slow write is
+        checked when its own first byte can go. Apart from its task, which would hold on to requests and bytes
+        while it waits."""
+        given_up = list[bytes]()
+        while self.waiting and isinstance(what := self.waiting[0], bytes):
+            given_up.append(what)
+            self.waiting.popleft()
+        if given_up:
+            await wire.send_all(b"".join(given_up))
+        elif self.waiting:
+            await self._send_attempt(wire)
+
+    async def _send_attempt(self, wire: Wire) -> None:
+        attempt = self.waiting.popleft()
+        assert isinstance(attempt, Attempt)
+        data = self._encode(attempt)
+        if not data:
+            return
+        try:
+            sent = wire.send_now(data)
+        except OSError:
+            self.waiting.appendleft(attempt)  # not a byte has left: another connection may take it
+            raise
+        if not sent:
+            self.waiting.appendleft(attempt)
+            await wire.writable()
+            return
+        self.out[attempt.request.txn] = attempt
+        self.pool.exchange.begun(attempt)
+        await wire.send_all(memoryview(data)[sent:])
+        self.pool.servers.forwards += 1
+
+    def _encode(self, what: Attempt) -> bytes:
+        """The rules are checked once more here, at the write. Nothing where it may not be written."""
         if not self.takes():  # who the server was shown to be no longer holds: another one is made, or none
             self.pool.again(what, Outcome.BROKEN)
             return b""
         if not self.pool.exchange.clear(what):
             return b""
         request = what.request
-        self.out[request.txn] = what
         limit = max(1, (what.until - now_us()) // 1000)
         text = f"fetch {request.txn} cls={request.cls},item={request.item},chunk={request.part},limit={limit}"
         if what.source is not None:
--- a/onyxpulley/signed.py
+++ b/onyxpulley/signed.py
@@ -21,8 +21,8 @@
 from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
 from onyxpulley.http import Call, Connection, Response, told
 from onyxpulley.spiffe.peers import Standing
+from onyxpulley.streams import SocketStream
 from onyxpulley.tenants import Denied, Tenant, Tenants, split_package
-from onyxpulley.wires import Plain
 
 if TYPE_CHECKING:
     import socket
@@ -52,7 +52,7 @@
     async def connection(self, sock: socket.socket) -> Connection | None:
         """Plain, or under mutual TLS where the operator's file names callers."""
         if self.keeper is None:
-            connection = Connection(Plain(sock), self.handle, BODY)
+            connection = Connection(SocketStream(sock, "client"), self.handle, BODY)
         else:
             try:
                 tls, bond = await self.keeper.accept(sock, self.callers)
--- a/onyxpulley/spiffe/tls.py
+++ b/onyxpulley/spiffe/tls.py
@@ -10,7 +10,7 @@
 
 from onyxpulley.spiffe.ids import BadIdentity
 from onyxpulley.spiffe.svids import Chain, Svid, read_chain
-from onyxpulley.wires import Stream
+from onyxpulley.streams import Data, SocketStream
 
 CHUNK = 16_384
 
@@ -48,7 +48,7 @@
 class Tls:
     """One side of a TLS connection. Readers and one writer may work at the same time."""
 
-    def __init__(self, plain: Stream, context: SSL.Context, server: bool) -> None:
+    def __init__(self, plain: SocketStream, context: SSL.Context, server: bool) -> None:
         self.plain = plain
         self.tls = SSL.Connection(context, None)
         self.tls.set_app_data(False)
@@ -119,7 +119,21 @@
             except SSL.Error as problem:
                 raise TlsError(reason(problem)) from None
 
-    async def send_all(self, data: bytes) -> None:
+    def send_now(self, data: Data) -> int:
+        """Encrypts a first part where the socket has room; `send_all` sees to it that it leaves."""
+        if self.sending.locked() or self.plain.would_block():
+            return 0
+        try:
+            return self.tls.send(memoryview(data)[:CHUNK])
+        except SSL.Error as problem:
+            raise TlsError(reason(problem)) from None
+
+    async def writable(self) -> None:
+        async with self.sending:
+            await self.plain.writable()
+
+    async def send_all(self, data: Data) -> None:
+        await self._flush()
         view = memoryview(data)
         while view:
             try:
--- a/onyxpulley/spiffe/trust.py
+++ b/onyxpulley/spiffe/trust.py
@@ -19,7 +19,8 @@
 from onyxpulley.spiffe.state import Health, Identities, Update
 from onyxpulley.spiffe.svids import Cause, Chain, Refused
 from onyxpulley.spiffe.tls import Tls, context_of
-from onyxpulley.wires import Plain, Wire
+from onyxpulley.streams import Data, SocketStream
+from onyxpulley.wires import Wire
 
 if TYPE_CHECKING:
     from onyxpulley.console import Figure
@@ -49,7 +50,13 @@
             self.keeper.remember(self.bond, self.tls)
         return got
 
-    async def send_all(self, data: bytes) -> None:
+    def send_now(self, data: Data) -> int:
+        return self.tls.send_now(data)
+
+    async def writable(self) -> None:
+        await self.tls.writable()
+
+    async def send_all(self, data: Data) -> None:
         await self.tls.send_all(data)
 
     def close(self) -> None:
@@ -143,7 +150,7 @@
             self.peers.before(uid, self.clock())
             context = self._context(server=False)
             generation = self.identities.generation
-            tls = Tls(Plain(sock), context, server=False)
+            tls = Tls(SocketStream(sock, "server"), context, server=False)
             session = self.sessions.pop(uid, None)
             if session is not None and session[2] == generation:
                 tls.tls.set_session(session[0])
@@ -186,7 +193,7 @@
     # ---- Callers
     async def accept(self, sock: socket.socket, callers: tuple[str, ...]) -> tuple[Tls, Bond]:
         """Raises Unverified; the peer is told nothing but a TLS alert."""
-        plain = Plain(sock)
+        plain = SocketStream(sock, "client")
         try:
             tls = Tls(plain, self._context(server=True), server=True)
             async with asyncio.timeout(WELCOME):
--- /dev/null
+++ b/onyxpulley/streams.py
@@ -0,0 +1,131 @@
+"""Connections as streams of bytes. A call that fails for a moment is made again; only an error that ends the
+connection is raised."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import select
+import socket
+from typing import Protocol
+
+from onyxpulley import metrics
+from onyxpulley.system_calls import Meaning, meaning_of, next_pause
+
+Data = bytes | memoryview
+
+
+def close_quietly(sock: socket.socket) -> None:
+    """Closes whatever `close` says: Linux frees the descriptor in any case."""
+    try:
+        sock.close()
+    except OSError as problem:
+        metrics.count_failed_call("close", problem)
+
+
+def disable_write_delay(sock: socket.socket) -> bool:
+    """Keeps the system from holding small writes back. False where that cannot be set now."""
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError as problem:
+        metrics.count_failed_call("setsockopt", problem)
+        return False
+    return True
+
+
+async def wait_writable(sock: socket.socket) -> None:
+    """Until the socket takes bytes, or has an error to tell."""
+    loop = asyncio.get_running_loop()
+    writable = loop.create_future()
+
+    def ready() -> None:
+        if not writable.done():
+            writable.set_result(None)
+
+    loop.add_writer(sock, ready)
+    try:
+        await writable
+    finally:
+        with contextlib.suppress(OSError):  # its deferred close may fail
+            loop.remove_writer(sock)
+
+
+class Stream(Protocol):
+    """A connection, plain or under TLS. What it raises (OSError) ends it."""
+
+    async def receive_into(self, room: memoryview) -> int:
+        """How many bytes came; 0 at the end."""
+        ...
+
+    def send_now(self, data: Data) -> int:
+        """How many bytes were taken without waiting; 0: none now."""
+        ...
+
+    async def writable(self) -> None:
+        """After `send_now` took none: until it is worth another try."""
+        ...
+
+    async def send_all(self, data: Data) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class SocketStream:
+    """A plain connection on a non-blocking socket. `peer` names the kind of peer in the counters."""
+
+    def __init__(self, sock: socket.socket, peer: str) -> None:
+        self.sock, self.peer = sock, peer
+        self.loop = asyncio.get_running_loop()
+        self.without_delay = disable_write_delay(sock)
+        self.pause = 0.0  # seconds before the next try to send, after an error
+
+    async def receive_into(self, room: memoryview) -> int:
+        pause = 0.0
+        while True:
+            try:
+                return await self.loop.sock_recv_into(self.sock, room)
+            except OSError as problem:
+                self._raise_if_ended("recv", problem)
+            pause = next_pause(pause)
+            await asyncio.sleep(pause)
+
+    def send_now(self, data: Data) -> int:
+        self.without_delay = self.without_delay or disable_write_delay(self.sock)
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as problem:
+            self._raise_if_ended("send", problem)
+            self.pause = next_pause(self.pause)
+            return 0
+        self.pause = 0.0
+        return sent
+
+    async def writable(self) -> None:
+        if self.pause:
+            await asyncio.sleep(self.pause)
+        else:
+            await wait_writable(self.sock)
+
+    def would_block(self) -> bool:
+        """Would the next byte have to wait?"""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLOUT)
+        return not poll.poll(0)
+
+    async def send_all(self, data: Data) -> None:
+        rest = memoryview(data)
+        while rest:
+            sent = self.send_now(rest)
+            rest = rest[sent:]
+            if not sent:
+                await self.writable()
+
+    def close(self) -> None:
+        close_quietly(self.sock)
+
+    def _raise_if_ended(self, call: str, problem: OSError) -> None:
+        metrics.count_failed_call(f"{call}.{self.peer}", problem)
+        if meaning_of(problem) is Meaning.ENDED:
+            raise problem
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -20,7 +20,7 @@
 from onyxpulley.facade import Facade
 from onyxpulley.news import CALLS, DEAD, UP, BadNews, Ledger, Recall, Roster, Watch, event
 from onyxpulley.servers import Servers
-from onyxpulley.wires import Plain
+from onyxpulley.wires import PlainWire
 
 from .helpers import World as Decisions
 from .helpers import entries, with_settings
@@ -262,14 +262,15 @@
             lane = rig.servers.pools["c0"].lanes[0]
             assert list(lane.waiting) == [first, second]
 
-            class Slow(Plain):
-                async def send_all(self, data: bytes) -> None:
-                    sent.append(data)
+            class Slow(PlainWire):
+                def send_now(self, data: bytes | memoryview) -> int:
+                    sent.append(bytes(data))
                     rig.bulletin.apply(event(roster(2, {"c0": "Terminating"})))
+                    return len(data)
 
-            await lane._batch(Slow(sock))
+            await lane._batch(Slow(sock, "server"))
             assert first.written and not second.ended
-            await lane._batch(Slow(sock))
+            await lane._batch(Slow(sock, "server"))
             assert not second.written and second.ended
             rig.servers.close()
             await asyncio.sleep(0)
