Take every accepted connection, whatever fails while it is taken

Callers saw their first request unanswered on a new connection. Causes: an error of setsockopt after accept closed the connection unread; at the end of the process one failed accept stopped the emptying of the queue, and closing the listener reset the rest; after any failed accept the listener slept 50 ms, so requests waited and their deadlines were passed on too long.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -419,6 +419,6 @@
         return not self.held and not any(c.open or c.began for c in self.all)
 
     def close(self) -> None:
-        self.stop_listening()
+        self.close_listener()
         for client in list(self.all):
             client.close(CloseReason.SHUTDOWN)
--- a/onyxpulley/console.py
+++ b/onyxpulley/console.py
@@ -105,6 +105,6 @@
             caller.close()
 
     def close(self) -> None:
-        self.stop_listening()
+        self.close_listener()
         for caller in list(self.all):
             caller.close()
--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -7,14 +7,17 @@
 import ctypes
 import socket
 import struct
+import time
 from collections.abc import Iterable
 from typing import Protocol
 
 from onyxpulley import logs, metrics
+from onyxpulley.streams import close_quietly
+from onyxpulley.system_calls import Meaning, meaning_of, next_pause
 
 SILENT = 4  # times that silence counts on a connection that never said anything: half fails slow requests
 FIRST = 1_000_000  # us that a connection without a request is left when the router leaves
-PAUSE = 0.05  # after a failed accept, mostly for want of descriptors
+EMPTY_WITHIN = 0.5  # seconds in which the queue of new connections is emptied at the end
 ATTACH = 51  # SO_ATTACH_REUSEPORT_CBPF, which the socket module does not name
 RETURN = 0x06  # BPF_RET | BPF_K: the whole program is "socket K of the group"
 
@@ -70,26 +73,30 @@
         self.accepting = asyncio.current_task()
         assert self.sock is not None
         loop = asyncio.get_running_loop()
+        pause = 0.0
         while True:
             try:
                 sock, _ = await loop.sock_accept(self.sock)
             except OSError as problem:
-                metrics.count_failed_call("accept", problem)
-                logs.event("listener", "accept_failed", why=problem)
-                await asyncio.sleep(PAUSE)
+                pause = self._pause_after(problem, pause)
+                await asyncio.sleep(pause)
                 continue
+            pause = 0.0
             self._take(sock)
 
+    @staticmethod
+    def _pause_after(problem: OSError, pause: float) -> float:
+        """Seconds until the next try. One connection that was given up says nothing of those behind it."""
+        metrics.count_failed_call("accept", problem)
+        logs.event("listener", "accept_failed", why=problem)
+        return next_pause(pause) if meaning_of(problem) is Meaning.LOCAL else 0.0
+
     def _take(self, sock: socket.socket) -> None:
-        try:
-            if not self.admit():
-                sock.close()
-                return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.admit():
             self.welcome(sock)
-        except OSError:  # reset before it was taken: the others go on
-            sock.close()
+        else:
+            metrics.count("client_closed.no_room")
+            close_quietly(sock)
 
     def admit(self) -> bool:
         raise NotImplementedError
@@ -97,13 +104,27 @@
     def welcome(self, sock: socket.socket) -> None:
         raise NotImplementedError
 
-    def stop_listening(self) -> None:
+    async def stop_listening(self) -> None:
         """What the machine accepted already is taken first: closing the socket would reset it."""
         if self.accepting is not None:  # uvloop keeps the socket open while an accept is under way
             self.accepting.cancel()
+        pause, end = 0.0, time.monotonic() + EMPTY_WITHIN
+        while self.sock is not None and time.monotonic() < end:
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                break
+            except OSError as problem:
+                pause = self._pause_after(problem, pause)
+                await asyncio.sleep(pause)
+                continue
+            sock.setblocking(False)
+            self._take(sock)
+        self.close_listener()
+
+    def close_listener(self) -> None:
+        if self.accepting is not None:
+            self.accepting.cancel()
         if self.sock is not None:
-            with contextlib.suppress(OSError):  # BlockingIOError: the queue is empty
-                while True:
-                    self._take(self.sock.accept()[0])
-            self.sock.close()
+            close_quietly(self.sock)
             self.sock = None
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -332,9 +332,8 @@
         self.enter(Phase.LINGERING)
         await asyncio.sleep(LINGER)
         self.enter(Phase.DRAINING)
-        self.clients.stop_listening()
-        for front in self.fronts:
-            front.stop_listening()
+        for listener in (self.clients, *self.fronts):
+            await listener.stop_listening()
         await asyncio.sleep(SWEEP / 2)  # what was in the queue is read before anyone looks for quiet
         while not self.quiet():
             if time.monotonic() - start > self.conf.limits.drain:
@@ -398,7 +397,7 @@
             connection.close()
 
     def close(self) -> None:
-        self.stop_listening()
+        self.close_listener()
         for connection in list(self.all):
             connection.close()
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -102,6 +102,11 @@
     play(tmp_path, [Fault(Call.SETSOCKOPT, errno.ENOBUFS)], resetting_servers)
 
 
+# The same for clients that connect just then: their first request is on its way already.
+def test_no_request_is_lost_while_options_of_new_clients_fail(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.SETSOCKOPT, errno.ENOBUFS)], new_clients)
+
+
 # Guards against closing a client's connection, with all that is open on it, for one failed read.
 def test_no_request_is_lost_while_reads_from_clients_fail(tmp_path: Path) -> None:
     play(tmp_path, [Fault(Call.RECV, errno.ENOBUFS, every=3)], client_side=True)
@@ -133,6 +138,30 @@
     play(tmp_path, [Fault(Call.ACCEPT, errno.ECONNABORTED, every=2)], new_clients)
 
 
+# Guards against requests reset in the queue of new connections, because one accept at the end failed.
+def test_no_request_is_lost_while_accepting_fails_at_the_end(tmp_path: Path) -> None:
+    async def main() -> None:
+        setup = StageSetup(shape=TrafficShape(rate=80.0, connections=16), routers=1)
+        async with Stage(tmp_path, SEED, setup) as stage:
+            stage.start_traffic()
+            shim = stage.shims["n0"]
+            for _ in range(3):
+                await asyncio.sleep(0.5)
+                shim.set(Fault(Call.ACCEPT, errno.ENFILE, every=2))
+                restart = asyncio.create_task(stage.restart("n0"))
+                for _ in range(4):
+                    await asyncio.sleep(0.08)
+                    new_clients(stage, 0)
+                await asyncio.sleep(1.0)
+                assert shim.clear(Call.ACCEPT)
+                await restart
+            await stage.settle()
+            broken = stage.verdict()
+            assert not broken, "\n".join(map(str, broken[:5]))
+
+    asyncio.run(main())
+
+
 # Guards against sound connections to servers that end, and jobs that fail, for one failed call.
 def test_no_request_is_lost_while_calls_to_servers_fail(tmp_path: Path) -> None:
     moment = [Fault(Call.RECV, errno.ENOMEM, every=5), Fault(Call.SEND, errno.EHOSTUNREACH, every=5)]
