Begin nothing for a client that may have left while reads or accepts failed

Servers saw attempts up to 0.5 s after the client had left, and deadlines longer than the client had left, when reads from clients or accepts failed for some tenths of a second. Cause: what had waited counted from the moment it was read, and a request was sent on before the end of its connection, which stood right behind it, was read. Evidence: bursts of 0.4 s in which every recv on client connections, or every accept, fails, with clients that leave. Now what may have waited counts from the first failed call, is taken in whole up to an end behind it before anything is sent, and an attempt waits while its client cannot be read for 50 ms or more. The clock of all spans has a module of its own.

--- a/benchmarks/records.py
+++ b/benchmarks/records.py
@@ -14,8 +14,9 @@
 
 import uvloop
 
+from onyxpulley.clock import now_us
 from onyxpulley.copies import Copies
-from onyxpulley.core import Answer, Attempt, Exchange, Order, Outcome, Report, Request, Send, now_us
+from onyxpulley.core import Answer, Attempt, Exchange, Order, Outcome, Report, Request, Send
 from onyxpulley.incident.keep import Keep
 from onyxpulley.incident.recorder import Recorder
 
--- a/onyxpulley/admin.py
+++ b/onyxpulley/admin.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import json
-import socket
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
@@ -14,6 +13,7 @@
 from onyxpulley import logs
 from onyxpulley.http import Call, Connection, Response, told
 from onyxpulley.spiffe.peers import Standing
+from onyxpulley.streams import SocketStream
 from onyxpulley.tenants import BadTenant, Tenant, Tenants, add_key, read_key, read_tenant
 
 if TYPE_CHECKING:
@@ -30,10 +30,10 @@
     ) -> None:
         self.tenants, self.keeper, self.allow, self.status = tenants, keeper, allow, status
 
-    async def connection(self, sock: socket.socket) -> Connection | None:
+    async def connection(self, stream: SocketStream) -> Connection | None:
         """The TLS handshake. None where the peer has no business here; nothing is told to it."""
         try:
-            tls, bond = await self.keeper.accept(sock, ANYONE)
+            tls, bond = await self.keeper.accept(stream, ANYONE)
         except OSError:
             return None
 
--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -11,7 +11,8 @@
 
 from onyxpulley import fields, logs, metrics
 from onyxpulley.buffers import Buffer
-from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
+from onyxpulley.clock import now_us
+from onyxpulley.core import Answer, Exchange, Request, Verdict
 from onyxpulley.listeners import FIRST, SILENT, Holder, Listener, make_room
 from onyxpulley.streams import SocketStream
 
@@ -153,8 +154,9 @@
 class Client:
     """One connection of a client."""
 
-    def __init__(self, front: Clients, sock: socket.socket) -> None:
-        self.front, self.stream = front, SocketStream(sock, "client")
+    def __init__(self, front: Clients, sock: socket.socket, failing_since: int) -> None:
+        self.front = front
+        self.stream = SocketStream(sock, "client", failing_since)
         self.buffer = Buffer(4_096, BODY + 8 * HEAD)
         self.open: dict[bytes, Request] = {}
         self.out: deque[bytes] = deque()
@@ -170,25 +172,48 @@
     async def _read(self) -> None:
         reason = CloseReason.CLIENT_LEFT
         try:
-            while not self.closed:
-                got = await self.stream.receive_into(self.buffer.room())
-                if not got:
-                    break
-                self.buffer.end += got
-                self.used = now_us()
-                self._parse()
-                if self.skip or self.buffer.start < self.buffer.end:
-                    self.began = self.began or self.used
-                elif self.spoke:
-                    self.began = 0
-        except (Malformed, BufferError) as problem:
-            reason = CloseReason.MALFORMED
-            self.front.say(str(problem))
+            while not self.closed and await self._receive():
+                pass
         except OSError:
             reason = CloseReason.READ_FAILED
         finally:
             self.close(reason)
 
+    async def _receive(self) -> bool:
+        """Takes in what came; False at the end. What may have waited while reads failed is taken in whole, up
+        to an end of the connection behind it, before anything is sent for it."""
+        got: int | None = await self.stream.receive_into(self._room())
+        while got and not self.closed:
+            self.buffer.end += got
+            self._take_in()
+            if self.closed or not self.stream.late_since:
+                break
+            got = self.stream.receive_now(self._room())
+        return got != 0
+
+    def _room(self) -> memoryview:
+        try:
+            return self.buffer.room()
+        except BufferError as problem:
+            self.stop_reading(CloseReason.MALFORMED, str(problem))
+            return self.buffer.room()
+
+    def _take_in(self) -> None:
+        self.used = now_us()
+        try:
+            self._parse()
+        except Malformed as problem:
+            self.stop_reading(CloseReason.MALFORMED, str(problem))
+            return
+        if self.skip or self.buffer.start < self.buffer.end:
+            self.began = self.began or self.used
+        elif self.spoke:
+            self.began = 0
+
+    def stop_reading(self, reason: CloseReason, why: str) -> None:
+        self.front.say(why)
+        self.close(reason)
+
     def _parse(self) -> None:
         buffer = self.buffer
         while buffer.start < buffer.end:
@@ -227,14 +252,14 @@
             if len(self.open) >= OPEN:
                 return self._fail(words, "too many open requests")
             try:
-                request = read_request(words, self.front.classes, self.used)
+                request = read_request(words, self.front.classes, self.stream.late_since or self.used)
             except ValueError as problem:
                 return self._fail(words, f"bad request: {problem}")
 
             def reply(answer: Answer) -> None:
                 self._reply(tag, answer)
 
-            request.reply = reply
+            request.reply, request.out_of_touch = reply, self.stream.out_of_touch
             first, self.asked = not self.asked, self.used
             self.open[tag] = request
             self.front.exchange.take(request, first)
@@ -373,14 +398,13 @@
         now = now_us()
         self._count()
         for client in [c for c in self.all if c.overdue(now)]:
-            self.say("no whole message in time")
-            client.close(CloseReason.OVERDUE)
+            client.stop_reading(CloseReason.OVERDUE, "no whole message in time")
         parts = sorted((c for c in self.all if c.began), key=lambda c: c.still(now))
         held = sum(len(c.buffer.data) for c in parts)
         while held > self.limits.buffers:  # guards the memory against very many large halves of messages
-            held -= len(parts[-1].buffer.data)
-            self.say("too much of messages that are not whole")
-            parts.pop().close(CloseReason.MEMORY)
+            client = parts.pop()
+            held -= len(client.buffer.data)
+            client.stop_reading(CloseReason.MEMORY, "too much of messages that are not whole")
 
     def say(self, why: str) -> None:
         """One line for the log; of very many in a second the rest is counted. Guards the log and the core."""
@@ -390,7 +414,7 @@
             logs.say(f"client: {why}"[:200])
 
     def welcome(self, sock: socket.socket) -> None:
-        self.all.add(Client(self, sock))
+        self.all.add(Client(self, sock, self.failing_since))
 
     def shed(self) -> None:
         """Guards the memory against clients that do not read: the one that holds most goes."""
--- a/onyxpulley/console.py
+++ b/onyxpulley/console.py
@@ -9,7 +9,7 @@
 
 from onyxpulley import metrics
 from onyxpulley.buffers import Buffer
-from onyxpulley.core import now_us
+from onyxpulley.clock import now_us
 from onyxpulley.listeners import Listener
 from onyxpulley.streams import SocketStream
 
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -11,12 +10,10 @@
 from typing import Protocol
 
 from onyxpulley import logs, metrics
+from onyxpulley.clock import now_us
 from onyxpulley.copies import Copies, Copy
 
-
-def now_us() -> int:
-    """The clock of all spans."""
-    return time.monotonic_ns() // 1000
+HOLD = 0.01  # seconds until an attempt is tried again whose client cannot be heard
 
 
 class Outcome(Enum):
@@ -91,6 +88,7 @@
     again: bool = False
     tenant: str | None = None
     permitted: Callable[[], bool] | None = None  # asked before every attempt
+    out_of_touch: Callable[[], bool] | None = None  # may its client have left unseen?
     signature: str = ""  # for boxes that want it; never on the platform's wire
     key: str = ""
     taken: int = 0  # when the core took it
@@ -241,6 +239,9 @@
             return False
         if not self._permitted(attempt.request):
             return False
+        if attempt.request.out_of_touch is not None and attempt.request.out_of_touch():
+            asyncio.get_running_loop().call_later(HOLD, self._send_again, attempt)
+            return False
         if now_us() >= attempt.until:
             self.timed_out(attempt)
             return False
@@ -249,6 +250,10 @@
             return False
         return True
 
+    def _send_again(self, attempt: Attempt) -> None:
+        if not attempt.ended:
+            self.carrier.send(attempt)
+
     @staticmethod
     def begun(attempt: Attempt) -> None:
         """Its first byte has left: from now on it may run."""
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -9,6 +9,7 @@
 
 from onyxpulley import interface as api
 from onyxpulley import logs
+from onyxpulley.clock import now_us
 from onyxpulley.config import BadConfig
 from onyxpulley.control import Router
 from onyxpulley.core import (
@@ -22,7 +23,6 @@
     Send,
     Settle,
     Verdict,
-    now_us,
 )
 from onyxpulley.settings import Json, read_settings
 
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -14,7 +14,7 @@
 import httptools
 
 from onyxpulley import logs
-from onyxpulley.core import now_us
+from onyxpulley.clock import now_us
 from onyxpulley.listeners import SILENT
 from onyxpulley.streams import Stream
 
@@ -37,6 +37,7 @@
     arrived: int = 0
     keep: bool = True
     problem: HTTPStatus | None = None
+    out_of_touch: Callable[[], bool] | None = None  # may its caller have left unseen?
 
 
 @dataclass(slots=True)
@@ -113,7 +114,8 @@
         call = self.call
         call.method = self.parser.get_method().decode("ascii")
         call.body = b"".join(self.parts)
-        call.arrived = now_us()
+        call.arrived = self.stream.late_since or now_us()
+        call.out_of_touch = self.stream.out_of_touch
         call.keep = self.parser.should_keep_alive() and call.problem is None
         self.calls.append(call)
         self.spoke, self.began = True, 0
--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -7,17 +7,17 @@
 import ctypes
 import socket
 import struct
-import time
 from collections.abc import Iterable
 from typing import Protocol
 
 from onyxpulley import logs, metrics
+from onyxpulley.clock import now_us
 from onyxpulley.streams import close_quietly
 from onyxpulley.system_calls import Meaning, meaning_of, next_pause
 
 SILENT = 4  # times that silence counts on a connection that never said anything: half fails slow requests
 FIRST = 1_000_000  # us that a connection without a request is left when the router leaves
-EMPTY_WITHIN = 0.5  # seconds in which the queue of new connections is emptied at the end
+EMPTY_WITHIN = 500_000  # us in which the queue of new connections is emptied at the end
 ATTACH = 51  # SO_ATTACH_REUSEPORT_CBPF, which the socket module does not name
 RETURN = 0x06  # BPF_RET | BPF_K: the whole program is "socket K of the group"
 
@@ -53,6 +53,8 @@
     def __init__(self) -> None:
         self.sock: socket.socket | None = None
         self.accepting: asyncio.Task[None] | None = None
+        self.failing_since = 0  # us, since when connections may have waited because accepting failed
+        self.pause = 0.0  # seconds before the next try
 
     def listen(self, address: tuple[str, int]) -> None:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -73,23 +75,38 @@
         self.accepting = asyncio.current_task()
         assert self.sock is not None
         loop = asyncio.get_running_loop()
-        pause = 0.0
         while True:
             try:
                 sock, _ = await loop.sock_accept(self.sock)
             except OSError as problem:
-                pause = self._pause_after(problem, pause)
-                await asyncio.sleep(pause)
+                self._failed(problem)
+                await asyncio.sleep(self.pause)
                 continue
-            pause = 0.0
             self._take(sock)
+            if self.failing_since and not self._empty_queue():
+                await asyncio.sleep(self.pause)
 
-    @staticmethod
-    def _pause_after(problem: OSError, pause: float) -> float:
-        """Seconds until the next try. One connection that was given up says nothing of those behind it."""
+    def _failed(self, problem: OSError) -> None:
+        """One connection that was given up says nothing of those behind it; else the next try waits."""
         metrics.count_failed_call("accept", problem)
         logs.event("listener", "accept_failed", why=problem)
-        return next_pause(pause) if meaning_of(problem) is Meaning.LOCAL else 0.0
+        self.failing_since = self.failing_since or now_us()
+        self.pause = next_pause(self.pause) if meaning_of(problem) is Meaning.LOCAL else 0.0
+
+    def _empty_queue(self) -> bool:
+        """Takes all connections that wait. False where an accept failed with others behind it."""
+        while self.sock is not None:
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                break
+            except OSError as problem:
+                self._failed(problem)
+                return False
+            sock.setblocking(False)
+            self._take(sock)
+        self.failing_since, self.pause = 0, 0.0
+        return True
 
     def _take(self, sock: socket.socket) -> None:
         if self.admit():
@@ -108,18 +125,9 @@
         """What the machine accepted already is taken first: closing the socket would reset it."""
         if self.accepting is not None:  # uvloop keeps the socket open while an accept is under way
             self.accepting.cancel()
-        pause, end = 0.0, time.monotonic() + EMPTY_WITHIN
-        while self.sock is not None and time.monotonic() < end:
-            try:
-                sock, _ = self.sock.accept()
-            except BlockingIOError:
-                break
-            except OSError as problem:
-                pause = self._pause_after(problem, pause)
-                await asyncio.sleep(pause)
-                continue
-            sock.setblocking(False)
-            self._take(sock)
+        end = now_us() + EMPTY_WITHIN
+        while not self._empty_queue() and now_us() < end:
+            await asyncio.sleep(self.pause)
         self.close_listener()
 
     def close_listener(self) -> None:
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -18,13 +18,15 @@
 from onyxpulley import config, logs
 from onyxpulley.bulletin import Bulletin
 from onyxpulley.clients import Clients
+from onyxpulley.clock import now_us
 from onyxpulley.console import Console, Figure
 from onyxpulley.copies import Copies
-from onyxpulley.core import Exchange, Verdict, now_us
+from onyxpulley.core import Exchange, Verdict
 from onyxpulley.facade import Facade
 from onyxpulley.listeners import FIRST, Listener, make_room
 from onyxpulley.news import BAD, UP
 from onyxpulley.servers import Servers
+from onyxpulley.streams import SocketStream
 
 if TYPE_CHECKING:
     import socket
@@ -356,7 +358,7 @@
     def __init__(
         self,
         address: tuple[str, int],
-        connect: Callable[[socket.socket], Connection | Awaitable[Connection | None]],
+        connect: Callable[[SocketStream], Connection | Awaitable[Connection | None]],
         clients: Clients,
         public: bool = False,  # its callers make way for others; the staff's do not
     ) -> None:
@@ -372,12 +374,12 @@
         return self.clients.admit()
 
     def welcome(self, sock: socket.socket) -> None:
-        task = asyncio.create_task(self._one(sock))
+        task = asyncio.create_task(self._one(SocketStream(sock, "client", self.failing_since)))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _one(self, sock: socket.socket) -> None:
-        made = self.connect(sock)
+    async def _one(self, stream: SocketStream) -> None:
+        made = self.connect(stream)
         connection = await made if isinstance(made, Awaitable) else made
         if connection is None:
             return
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -10,7 +10,8 @@
 
 from onyxpulley import fields, logs, metrics
 from onyxpulley.buffers import Buffer
-from onyxpulley.core import Attempt, Exchange, Outcome, Report, now_us
+from onyxpulley.clock import now_us
+from onyxpulley.core import Attempt, Exchange, Outcome, Report
 from onyxpulley.streams import close_quietly
 from onyxpulley.system_calls import Meaning, meaning_of, next_pause
 from onyxpulley.wires import Listed, Trust, Wire
--- a/onyxpulley/signed.py
+++ b/onyxpulley/signed.py
@@ -18,15 +18,14 @@
 from urllib.parse import parse_qsl
 
 from onyxpulley import fields
-from onyxpulley.core import Answer, Exchange, Request, Verdict, now_us
+from onyxpulley.clock import now_us
+from onyxpulley.core import Answer, Exchange, Request, Verdict
 from onyxpulley.http import Call, Connection, Response, told
 from onyxpulley.spiffe.peers import Standing
 from onyxpulley.streams import SocketStream
 from onyxpulley.tenants import Denied, Tenant, Tenants, split_package
 
 if TYPE_CHECKING:
-    import socket
-
     from onyxpulley.facade import Facade
     from onyxpulley.spiffe.peers import Bond
     from onyxpulley.spiffe.trust import Keeper
@@ -49,13 +48,13 @@
         self.keeper: Keeper | None = None  # of identities, where callers show theirs
         self.callers: tuple[str, ...] = ()
 
-    async def connection(self, sock: socket.socket) -> Connection | None:
+    async def connection(self, stream: SocketStream) -> Connection | None:
         """Plain, or under mutual TLS where the operator's file names callers."""
         if self.keeper is None:
-            connection = Connection(SocketStream(sock, "client"), self.handle, BODY)
+            connection = Connection(stream, self.handle, BODY)
         else:
             try:
-                tls, bond = await self.keeper.accept(sock, self.callers)
+                tls, bond = await self.keeper.accept(stream, self.callers)
             except OSError:
                 return None
             connection = Connection(tls, partial(self._known, bond), BODY)
@@ -156,6 +155,7 @@
             body=call.body,
             have=tag[1] if tag else "",
             tenant=tenant.name,
+            out_of_touch=call.out_of_touch,
         )
 
     async def carry(self, request: Request, tenant: Tenant) -> Response:
--- a/onyxpulley/spiffe/tls.py
+++ b/onyxpulley/spiffe/tls.py
@@ -59,6 +59,13 @@
         self.room = memoryview(bytearray(CHUNK))
         self.sending = asyncio.Lock()
 
+    @property
+    def late_since(self) -> int:
+        return self.plain.late_since
+
+    def out_of_touch(self) -> bool:
+        return self.plain.out_of_touch()
+
     async def handshake(self) -> None:
         """Raises OSError; a TimeoutError is the caller's."""
         await self._step(self.tls.do_handshake)
--- a/onyxpulley/spiffe/trust.py
+++ b/onyxpulley/spiffe/trust.py
@@ -43,6 +43,13 @@
         self.keeper, self.tls, self.bond = keeper, tls, bond
         self.kept = False
 
+    @property
+    def late_since(self) -> int:
+        return self.tls.late_since
+
+    def out_of_touch(self) -> bool:
+        return self.tls.out_of_touch()
+
     async def receive_into(self, room: memoryview) -> int:
         got = await self.tls.receive_into(room)
         if not self.kept:  # a ticket comes behind the handshake, ahead of the first answer
@@ -191,9 +198,8 @@
         return now
 
     # ---- Callers
-    async def accept(self, sock: socket.socket, callers: tuple[str, ...]) -> tuple[Tls, Bond]:
+    async def accept(self, plain: SocketStream, callers: tuple[str, ...]) -> tuple[Tls, Bond]:
         """Raises Unverified; the peer is told nothing but a TLS alert."""
-        plain = SocketStream(sock, "client")
         try:
             tls = Tls(plain, self._context(server=True), server=True)
             async with asyncio.timeout(WELCOME):
--- a/onyxpulley/streams.py
+++ b/onyxpulley/streams.py
@@ -10,9 +10,11 @@
 from typing import Protocol
 
 from onyxpulley import metrics
+from onyxpulley.clock import now_us
 from onyxpulley.system_calls import Meaning, meaning_of, next_pause
 
 Data = bytes | memoryview
+OUT_OF_TOUCH = 50_000  # us: half of the time after a client's end in which an attempt may still begin
 
 
 def close_quietly(sock: socket.socket) -> None:
@@ -53,6 +55,15 @@
 class Stream(Protocol):
     """A connection, plain or under TLS. What it raises (OSError) ends it."""
 
+    @property
+    def late_since(self) -> int:
+        """Since when what came last may have waited, because reads failed; 0 where it came just now."""
+        ...
+
+    def out_of_touch(self) -> bool:
+        """Have reads failed for so long that the peer may have left unseen?"""
+        ...
+
     async def receive_into(self, room: memoryview) -> int:
         """How many bytes came; 0 at the end."""
         ...
@@ -71,10 +82,14 @@
 
 
 class SocketStream:
-    """A plain connection on a non-blocking socket. `peer` names the kind of peer in the counters."""
+    """A plain connection on a non-blocking socket. `peer` names the kind of peer in the counters,
+    `failing_since` tells since when it may have waited to be accepted. Times in monotonic microseconds, 0 for
+    never."""
 
-    def __init__(self, sock: socket.socket, peer: str) -> None:
+    def __init__(self, sock: socket.socket, peer: str, failing_since: int = 0) -> None:
         self.sock, self.peer = sock, peer
+        self.failing_since = failing_since  # of reads; the next one that goes through ends it
+        self.late_since = 0
         self.loop = asyncio.get_running_loop()
         self.without_delay = disable_write_delay(sock)
         self.pause = 0.0  # seconds before the next try to send, after an error
@@ -83,12 +98,30 @@
         pause = 0.0
         while True:
             try:
-                return await self.loop.sock_recv_into(self.sock, room)
+                got = await self.loop.sock_recv_into(self.sock, room)
             except OSError as problem:
                 self._raise_if_ended("recv", problem)
+                self.failing_since = self.failing_since or now_us()
+            else:
+                self.late_since, self.failing_since = self.failing_since, 0
+                return got
             pause = next_pause(pause)
             await asyncio.sleep(pause)
 
+    def receive_now(self, room: memoryview) -> int | None:
+        """How many bytes were there; 0 at the end, None where there is nothing now."""
+        try:
+            return self.sock.recv_into(room)
+        except BlockingIOError:
+            return None
+        except OSError as problem:
+            self._raise_if_ended("recv", problem)
+            self.failing_since = self.failing_since or self.late_since or now_us()
+            return None
+
+    def out_of_touch(self) -> bool:
+        return bool(self.failing_since) and now_us() - self.failing_since > OUT_OF_TOUCH
+
     def send_now(self, data: Data) -> int:
         self.without_delay = self.without_delay or disable_write_delay(self.sock)
         try:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Sequence
 
+from onyxpulley.clock import now_us
 from onyxpulley.copies import Copies
-from onyxpulley.core import Answer, Attempt, Exchange, Order, Report, Request, Send, Verdict, now_us
+from onyxpulley.core import Answer, Attempt, Exchange, Order, Report, Request, Send, Verdict
 
 
 class Bounds:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -14,8 +14,9 @@
 
 from onyxpulley import config
 from onyxpulley.clients import Client, Clients
+from onyxpulley.clock import now_us
 from onyxpulley.copies import Copies
-from onyxpulley.core import Answer, Attempt, Exchange, Outcome, Report, Request, now_us
+from onyxpulley.core import Answer, Attempt, Exchange, Outcome, Report, Request
 from onyxpulley.facade import Facade, Member
 
 from .player import SETTINGS, resp
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -16,7 +16,7 @@
 from soak.traffic import TrafficShape
 
 SEED = 20261203
-BURST, PAUSE, BURSTS = 0.25, 0.35, 6  # seconds that a call fails, seconds between, and how often
+BURST, PAUSE, BURSTS = 0.4, 0.3, 5  # seconds that a call fails, seconds between, and how often
 LEAST_SERVED = 0.5  # share of the requests that are answered well, the least that the operators' gate wants
 
 Trouble = Callable[[Stage, int], None]
@@ -112,6 +112,16 @@
     play(tmp_path, [Fault(Call.RECV, errno.ENOBUFS, every=3)], client_side=True)
 
 
+# Guards against attempts for clients that left, and deadlines that have shrunk, while nothing can be read.
+def test_no_request_is_forwarded_late_while_no_client_can_be_read(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.RECV, errno.ENOMEM)], new_clients, client_side=True)
+
+
+# The same for requests that wait on connections which cannot be accepted.
+def test_no_request_is_forwarded_late_while_nothing_can_be_accepted(tmp_path: Path) -> None:
+    play(tmp_path, [Fault(Call.ACCEPT, errno.ENFILE)], new_clients, client_side=True)
+
+
 # Guards against closing a client's connection for one failed write, also between the parts of a large answer.
 def test_no_request_is_lost_while_writes_to_clients_fail(tmp_path: Path) -> None:
     play(tmp_path, [Fault(Call.SEND, errno.ENOBUFS, every=2)], client_side=True)
