Answer what is open before a connection ends for what its client sent later

A request that had been read got no answer when a malformed message, half a message that stayed so, or a tag used twice came behind it on its connection. Now whatever else comes is passed over, what is open is answered, at the latest 2.6 s later, then the connection ends; for half a message the answers come at once, so that such clients are gone as soon as before. Of a tag used twice the first request gets no answer, as before, since none could tell the two apart.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -166,6 +166,8 @@
         self.used = self.began = now_us()  # `began`: since when a message is awaited, 0: none is
         self.spoke = False  # a whole message came
         self.asked = 0  # when the last request came
+        self.stopped: CloseReason | None = None  # why nothing more is read as messages
+        self.stopped_at = 0
         self.wake = asyncio.Event()
         self.tasks = {asyncio.create_task(self._read()), asyncio.create_task(self._write())}
 
@@ -200,6 +202,9 @@
 
     def _take_in(self) -> None:
         self.used = now_us()
+        if self.stopped is not None:
+            self.buffer.start = self.buffer.end = 0
+            return
         try:
             self._parse()
         except Malformed as problem:
@@ -211,8 +216,20 @@
             self.began = 0
 
     def stop_reading(self, reason: CloseReason, why: str) -> None:
+        """Passes over whatever else comes, and closes when what is open has been answered."""
         self.front.say(why)
-        self.close(reason)
+        self.stopped, self.stopped_at = reason, now_us()
+        self.buffer = Buffer(4_096, BODY + 8 * HEAD)
+        self.skip = self.began = 0
+        if reason is not CloseReason.MALFORMED:
+            self.settle()
+        if self.spare():
+            self.close(reason)
+
+    def settle(self) -> None:
+        """The final answer now to all that is open."""
+        for request in list(self.open.values()):
+            self.front.exchange.settle(request)
 
     def _parse(self) -> None:
         buffer = self.buffer
@@ -248,6 +265,7 @@
             raise Malformed("no tag")
         if verb == b"ASK":
             if tag in self.open:  # an answer would tell neither of the two
+                self.front.exchange.left(self.open.pop(tag))
                 raise Malformed("tag is open already")
             if len(self.open) >= OPEN:
                 return self._fail(words, "too many open requests")
@@ -302,6 +320,9 @@
                 self.wake.clear()
                 while self.out:
                     await self._batch()
+                if self.stopped is not None and self.spare():
+                    reason = self.stopped
+                    return
                 if self.front.leaving and self.asked and self.idle():
                     return  # a request that crosses this is sent again; one that is half here ends it later
         except TimeoutError:
@@ -399,6 +420,8 @@
         self._count()
         for client in [c for c in self.all if c.overdue(now)]:
             client.stop_reading(CloseReason.OVERDUE, "no whole message in time")
+        for client in [c for c in self.all if c.stopped is not None and now - c.stopped_at > WHOLE]:
+            client.settle()
         parts = sorted((c for c in self.all if c.began), key=lambda c: c.still(now))
         held = sum(len(c.buffer.data) for c in parts)
         while held > self.limits.buffers:  # guards the memory against very many large halves of messages
@@ -434,8 +457,7 @@
         """Guards against those that never fall idle: who asked lately gets its final answers, and the end."""
         now = now_us()
         for client in [c for c in self.all if now - c.asked < LATELY]:
-            for request in list(client.open.values()):
-                self.exchange.settle(request)
+            client.settle()
 
     def quiet(self) -> bool:
         """All answers are written, and no request is on its way in. Guards the ones that take their time to
