Write records again, to a new file, when the disk was full for a moment

Where records are kept, a full disk (ENOSPC) while a file was made ended the records of that run: the old file was closed, the new one not there, and each later second failed on the closed one. A router started just then did not start at all. Evidence: test_no_record_is_lost_while_the_disk_is_full[CREATE] saw 79 records missing; the start ended with 'No space left on device'. Now what could not be written is kept and written to a new file, ten times a second, while the queue of four seconds fills; a reader counts what stands twice once. A start goes on without records until they can be written. Failures are counted and told in the log.

--- a/onyxpulley/incident/recorder.py
+++ b/onyxpulley/incident/recorder.py
@@ -1,21 +1,28 @@
-"""The router's side: a second's records go to a file by a thread, and never make a request wait."""
+"""The router's side: a second's records go to a file by a thread, and never make a request wait.
+
+A disk that cannot be written for a moment costs no record: a second's records are written again, to a new
+file, until they are there or the queue behind them is full."""
 
 from __future__ import annotations
 
+import contextlib
 import threading
 import time
 from collections.abc import Sequence
+from io import BufferedWriter
 from pathlib import Path
 from queue import Empty, Full, Queue
 
 import pyarrow as pa
 
-from onyxpulley import logs
+from onyxpulley import logs, metrics
 from onyxpulley.incident.files import SUFFIX, batch_of, schema_of
 from onyxpulley.incident.keep import Keep
 from onyxpulley.incident.records import Origin, Record
 from onyxpulley.incident.tally import Tally
+from onyxpulley.system_calls import Meaning, meaning_of
 
+AGAIN = 0.1  # seconds until what could not be written is tried again
 BEHIND = 4  # seconds that may wait for the disk; what comes then is counted as dropped
 
 
@@ -25,15 +32,22 @@
 
 class Recorder:
     def __init__(self, name: str, zone: str, keep: Keep) -> None:
-        """Raises OSError where the folder can't be written."""
+        """Raises OSError where the folder can't be written for a lasting reason."""
         self.origin, self.zone, self.keep = Origin(name, unix_us()), zone, keep
         self.tally = Tally(unix_us)
         self.queue: Queue[Sequence[Record] | None] = Queue(BEHIND)
         self.part = -1
         self.failed = 0
         self.next = time.monotonic() + 1.0
-        keep.folder.mkdir(parents=True, exist_ok=True)
-        self._open()
+        self.ending = threading.Event()
+        self.file: BufferedWriter | None = None
+        self.stream: pa.RecordBatchStreamWriter | None = None
+        try:
+            self._open()
+        except OSError as problem:
+            if meaning_of(problem) is not Meaning.LOCAL:
+                raise
+            self._not_written(problem)
         self.thread = threading.Thread(target=self._write, name="recorder", daemon=True)
         self.thread.start()
 
@@ -54,6 +68,7 @@
 
     def close(self) -> None:
         """The last records, within a second: the end of the program waits for no disk."""
+        self.ending.set()
         self._hand_over()
         try:
             self.queue.put(None, timeout=0.5)
@@ -67,13 +82,24 @@
         return self.keep.folder / f"{safe or 'router'}-{self.origin.epoch}-{part:05d}{SUFFIX}"
 
     def _open(self) -> None:
+        self.keep.folder.mkdir(parents=True, exist_ok=True)
         self.part += 1
         self.file = self._path(self.part).open("xb")
         self.stream = pa.ipc.new_stream(self.file, schema_of(self.origin, self.part, self.zone))
 
     def _shut(self) -> None:
-        self.stream.close()
-        self.file.close()
+        stream, file = self.stream, self.file
+        self.stream = self.file = None
+        if stream is not None and file is not None:
+            stream.close()
+            file.close()
+
+    def _abandon(self) -> None:
+        """Leaves the file as it is: a reader takes it up to its last whole second."""
+        file, self.stream, self.file = self.file, None, None
+        if file is not None:
+            with contextlib.suppress(OSError):
+                file.close()
 
     def _write(self) -> None:
         while True:
@@ -81,20 +107,44 @@
                 rows = self.queue.get(timeout=5.0)
             except Empty:
                 continue
-            try:
-                if rows is None:
-                    self._shut()
-                    return
-                self.stream.write_batch(batch_of(rows))
-                self.file.flush()
-                if self.file.tell() >= self.keep.file_mb * 1e6:
-                    self._shut()
-                    self._open()
-                    self._prune()
-            except (OSError, pa.ArrowException) as problem:  # a full disk: the router goes on without
-                self.failed += 1
-                if self.failed in (1, 10, 100) and rows is not None:
-                    logs.say(f"records: not written: {problem}"[:200])
+            if rows is None:
+                break
+            while not self._append(rows) and not self.ending.wait(AGAIN):
+                pass
+        try:
+            self._shut()
+        except (OSError, pa.ArrowException) as problem:
+            self._not_written(problem)
+
+    def _append(self, rows: Sequence[Record]) -> bool:
+        """Are they written? What is written twice counts once to a reader, by its numbers."""
+        try:
+            if self.stream is None or self.file is None:
+                self._open()
+            assert self.stream is not None and self.file is not None
+            self.stream.write_batch(batch_of(rows))
+            self.file.flush()
+        except (OSError, pa.ArrowException) as problem:
+            self._not_written(problem)
+            self._abandon()
+            return False
+        if self.file.tell() >= self.keep.file_mb * 1e6:
+            self._rotate()
+        return True
+
+    def _rotate(self) -> None:
+        """The next file is made with the next records."""
+        try:
+            self._shut()
+            self._prune()
+        except (OSError, pa.ArrowException) as problem:
+            self._not_written(problem)
+
+    def _not_written(self, problem: Exception) -> None:
+        self.failed += 1
+        if isinstance(problem, OSError):
+            metrics.count_failed_call("records", problem)
+        logs.event("records", "not_written", why=problem, failures=self.failed)
 
     def _prune(self) -> None:
         own = self._path(0).name.rsplit("-", 2)[0]
--- a/soak/shim.c
+++ b/soak/shim.c
@@ -8,6 +8,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <sys/mman.h>
@@ -17,7 +18,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { SOCKET, CONNECT, ACCEPT, RECV, SEND, LOG_WRITE, FILE_WRITE, CLOSE, SETSOCKOPT, FSYNC, RENAME, CALLS };
+enum call { SOCKET, CONNECT, ACCEPT, RECV, SEND, LOG_WRITE, FILE_WRITE, CLOSE, SETSOCKOPT, FSYNC, RENAME, CREATE, CALLS };
 
 struct rule {
     int32_t error;   /* errno that the call gives; 0: the call passes with at most `longest` bytes */
@@ -192,6 +193,32 @@
     return real(from, to);
 }
 
+/* Only what makes a new file. */
+static int created(const char *path, int flags, mode_t mode) {
+    static int (*real)(const char *, int, ...);
+    if (!real)
+        real = REAL(open);
+    if (flags & O_CREAT)
+        FAIL_IF_STRUCK(CREATE, -1);
+    return real(path, flags, mode);
+}
+
+int open(const char *path, int flags, ...) {
+    va_list more;
+    va_start(more, flags);
+    mode_t mode = flags & O_CREAT ? va_arg(more, mode_t) : 0;
+    va_end(more);
+    return created(path, flags, mode);
+}
+
+int open64(const char *path, int flags, ...) {
+    va_list more;
+    va_start(more, flags);
+    mode_t mode = flags & O_CREAT ? va_arg(more, mode_t) : 0;
+    va_end(more);
+    return created(path, flags, mode);
+}
+
 static void step(struct timespec *at) {
     int64_t sum = (int64_t)at->tv_sec * 1000000000 + at->tv_nsec + table->clock_step;
     at->tv_sec = sum / 1000000000;
--- a/soak/shim.py
+++ b/soak/shim.py
@@ -31,6 +31,7 @@
     SETSOCKOPT = 8
     FSYNC = 9
     RENAME = 10
+    CREATE = 11  # open of a file that is made by it
 
 
 # What Linux documents for each call and a program on sockets may meet while the connection itself is sound.
@@ -52,6 +53,7 @@
     Call.SETSOCKOPT: (errno.ENOBUFS, errno.EINVAL),
     Call.FSYNC: (errno.EIO, errno.ENOSPC),
     Call.RENAME: (errno.ENOSPC, errno.EIO),
+    Call.CREATE: (errno.ENOSPC, errno.EMFILE),
 }
 
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -8,6 +8,11 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import pytest
+
+from onyxpulley.incident.load import case_of
+from onyxpulley.incident.merge import Gap
+from onyxpulley.incident.records import Kind, Record
 from soak.clients import ClientConnection
 from soak.rules import Violation
 from soak.servers import Mode
@@ -181,3 +186,57 @@
 # Guards against servers taken for dead because this machine had no address or route for a moment.
 def test_no_request_is_lost_while_connecting_fails(tmp_path: Path) -> None:
     play(tmp_path, [Fault(Call.CONNECT, errno.EADDRNOTAVAIL)], resetting_servers)
+
+
+# Guards against records that are lost, and a recorder that ends, because the disk was full for a moment.
+@pytest.mark.parametrize("call", [Call.FILE_WRITE, Call.CREATE])
+def test_no_record_is_lost_while_the_disk_is_full(call: Call, tmp_path: Path) -> None:
+    operator, folder = tmp_path / "operator.toml", tmp_path / "records"
+    operator.write_text(f'[records]\nfolder = "{folder}"\nfile_mb = 0.01\nfiles = 100\n')
+
+    async def main() -> None:
+        environment = {"ONYXPULLEY_OPERATOR": str(operator)}
+        async with Stage(tmp_path, SEED, StageSetup(routers=1, extra_environment=environment)) as stage:
+            stage.start_traffic()
+            shim, struck = stage.shims["n0"], 0
+            for _ in range(3):
+                await asyncio.sleep(1.2)
+                shim.set(Fault(call, errno.ENOSPC))
+                await asyncio.sleep(3.0)
+                struck += shim.clear(call)
+            assert struck
+            await asyncio.sleep(1.5)
+            await stage.settle()
+            router = stage.routers["n0"]
+            router.terminate()
+            assert await router.wait(5.0) == 0
+            assert not stage.verdict()
+
+    asyncio.run(main())
+    (run,) = case_of([folder]).runs
+    rows = list(run.rows())
+    assert not [row for row in rows if isinstance(row, Gap)]
+    kinds = [row.kind for row in rows if isinstance(row, Record)]
+    assert Kind.DROPPED not in kinds and kinds.count(Kind.ANSWER) > 5
+
+
+# Guards against a router that does not start because the disk was full just then.
+def test_a_router_starts_and_serves_while_records_cannot_be_written(tmp_path: Path) -> None:
+    operator, folder = tmp_path / "operator.toml", tmp_path / "records"
+    operator.write_text(f'[records]\nfolder = "{folder}"\n')
+
+    async def main() -> None:
+        environment = {"ONYXPULLEY_OPERATOR": str(operator)}
+        async with Stage(tmp_path, SEED, StageSetup(routers=1, extra_environment=environment)) as stage:
+            shim = stage.shims["n0"]
+            shim.set(Fault(Call.CREATE, errno.ENOSPC))
+            await stage.kill_and_restart("n0")
+            stage.start_traffic()
+            await asyncio.sleep(1.5)
+            assert shim.clear(Call.CREATE)
+            await asyncio.sleep(2.0)
+            await stage.settle()
+            assert not stage.verdict() and "event=not_written" in stage.routers["n0"].log_text()
+
+    asyncio.run(main())
+    assert max(run.origin.epoch for run in case_of([folder]).runs)
