--- a/onyxpulley/config.py
+++ b/onyxpulley/config.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from onyxpulley.settings import read_settings
+from onyxpulley.system_calls import Meaning, meaning_of
 
 SPARE = 40  # descriptors for the listeners, the console's callers, the bulletin, the loop, the log and a file
 
@@ -20,6 +21,10 @@
     """One clear line for the operator."""
 
 
+class NotReadNow(BadConfig):
+    """The file could not be read for a reason that may pass."""
+
+
 @dataclass(slots=True)
 class Limits:
     connect_timeout: float
@@ -80,7 +85,8 @@
             table = json.load(file)
         return _read(table, env)
     except OSError as problem:
-        raise BadConfig(f"cannot read {path}: {problem.strerror}") from problem
+        kind = NotReadNow if meaning_of(problem) is Meaning.LOCAL else BadConfig
+        raise kind(f"cannot read {path}: {problem.strerror}") from problem
     except (KeyError, TypeError, AttributeError, ValueError) as problem:
         raise BadConfig(f"{path}: {type(problem).__name__}: {problem}") from problem
 
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -15,7 +15,7 @@
 
 import uvloop
 
-from onyxpulley import config, logs
+from onyxpulley import config, logs, metrics
 from onyxpulley.bulletin import Bulletin
 from onyxpulley.clients import Clients
 from onyxpulley.clock import now_us
@@ -27,6 +27,7 @@
 from onyxpulley.news import BAD, UP
 from onyxpulley.servers import Servers
 from onyxpulley.streams import SocketStream
+from onyxpulley.system_calls import Meaning, meaning_of
 
 if TYPE_CHECKING:
     import socket
@@ -40,6 +41,8 @@
 REFUSE = 1.8  # seconds after which clients that still ask on their connection are refused
 SETTLE = 3.4  # seconds after PAUSE at which those that go on asking get their last answers
 SWEEP = 0.1
+RELOAD_TRIES, RELOAD_AGAIN = 50, 0.1  # reads of a configuration, and seconds between two of them
+START_WITHIN = 5.0  # seconds in which what fails at the start for a reason that may pass is tried again
 SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 HTTP = 96  # connections of one front: bounds what slow readers hold
 
@@ -111,11 +114,8 @@
         fronts: list[tuple[Listener, tuple[str, int] | None]]
         fronts = [(self.console, self.conf.console), (self.clients, self.conf.listen)]
         for front, address in fronts:
-            try:
-                if address is not None:
-                    front.listen(address)
-            except OSError as problem:
-                raise config.BadConfig(f"cannot listen on {address}: {problem}") from problem
+            if address is not None:
+                await self._listen(front, address)
         self._operated()
         tasks = [
             *self.tasks,
@@ -149,9 +149,23 @@
             self.recorder.close()
         return 0
 
-    def reload(self) -> None:
+    @staticmethod
+    async def _listen(front: Listener, address: tuple[str, int]) -> None:
+        """Raises BadConfig where the address cannot be listened on."""
+        end = time.monotonic() + START_WITHIN
+        while True:
+            try:
+                return front.listen(address)
+            except OSError as problem:
+                metrics.count_failed_call("listen", problem)
+                if meaning_of(problem) is not Meaning.LOCAL or time.monotonic() > end:
+                    raise config.BadConfig(f"cannot listen on {address}: {problem}") from problem
+            await asyncio.sleep(SWEEP)
+
+    def reload(self, tries: int = RELOAD_TRIES) -> None:
         """SIGHUP, in any phase: reads GW_CONFIG anew. All of a file that can be used counts, nothing of one
-        that can't; requests and connections stay. Guards against dying of the signal."""
+        that can't; requests and connections stay. Guards against dying of the signal. A file that cannot be
+        read for a moment is read again, `tries` times in all."""
         old = self.conf
         try:
             new = config.load(os.environ)
@@ -159,6 +173,9 @@
                 raise config.BadConfig("name and listen take a restart")
             self.facade.configure(new.settings, new.transfers, new.limits.memo)
         except config.BadConfig as problem:
+            if isinstance(problem, config.NotReadNow) and tries > 1:
+                asyncio.get_running_loop().call_later(RELOAD_AGAIN, self.reload, tries - 1)
+                return
             self.reloads["rejected"] += 1
             self.note("reload", "rejected")
             logs.say(f"{old.name}: reload: kept the old settings: {problem}")
@@ -316,18 +333,26 @@
     async def _sweep(self) -> None:
         for no in itertools.count():
             await asyncio.sleep(SWEEP)
+            steps = [self._identities_tick, self.servers.sweep, self.clients.sweep, self.console.sweep]
+            steps += [self._retreat, *((front.sweep for front in self.fronts) if no % 5 == 0 else ())]
             if self.recorder is not None:
-                self.recorder.tick()
-            if self.keeper is not None:
-                self.keeper.tick()
-                self.clients.fit = self.fit()
-            self.servers.sweep()
-            self.clients.sweep()
-            self.console.sweep()
-            self._retreat()
-            if no % 5 == 0:
-                for front in self.fronts:
-                    front.sweep()
+                steps.append(self.recorder.tick)
+            for step in steps:
+                self._contained(step)
+
+    @staticmethod
+    def _contained(step: Callable[[], None]) -> None:
+        """A step of the sweep that fails stops neither the others nor the program."""
+        try:
+            step()
+        except Exception as problem:
+            metrics.count(f"internal_error.{type(problem).__name__}")
+            logs.event("program", "internal_error", step=step.__qualname__, why=repr(problem))
+
+    def _identities_tick(self) -> None:
+        if self.keeper is not None:
+            self.keeper.tick()
+            self.clients.fit = self.fit()
 
     async def _drain(self) -> None:
         self.since = start = time.monotonic()
@@ -408,9 +433,21 @@
     return await Program(conf, operator).run()
 
 
+def load_config() -> config.Config:
+    """Raises BadConfig."""
+    end = time.monotonic() + START_WITHIN
+    while True:
+        try:
+            return config.load(os.environ)
+        except config.NotReadNow:
+            if time.monotonic() > end:
+                raise
+        time.sleep(SWEEP)
+
+
 def main() -> int:
     try:
-        conf = config.load(os.environ)
+        conf = load_config()
         operator = None
         if os.environ.get("ONYXPULLEY_OPERATOR"):
             from onyxpulley.operator import load  # the platform's front needs none of it
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -101,6 +101,8 @@
 
     def check(self) -> None:
         """Guards against an answer that stops short: nothing else will come through behind it."""
+        if self.wire is not None and self.wire.out_of_touch():
+            return  # reads fail here; that says nothing of the server
         partial = self.buffer.end - self.buffer.start
         self.still = self.still + 1 if partial and partial == self.partial else 0
         self.partial = partial
--- a/soak/shim.c
+++ b/soak/shim.c
@@ -18,7 +18,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { SOCKET, CONNECT, ACCEPT, RECV, SEND, LOG_WRITE, FILE_WRITE, CLOSE, SETSOCKOPT, FSYNC, RENAME, CREATE, CALLS };
+enum call { SOCKET, CONNECT, ACCEPT, RECV, SEND, LOG_WRITE, FILE_WRITE, CLOSE, SETSOCKOPT, FSYNC, RENAME, CREATE, OPEN, CALLS };
 
 struct rule {
     int32_t error;   /* errno that the call gives; 0: the call passes with at most `longest` bytes */
@@ -193,13 +193,11 @@
     return real(from, to);
 }
 
-/* Only what makes a new file. */
-static int created(const char *path, int flags, mode_t mode) {
+static int opened(const char *path, int flags, mode_t mode) {
     static int (*real)(const char *, int, ...);
     if (!real)
         real = REAL(open);
-    if (flags & O_CREAT)
-        FAIL_IF_STRUCK(CREATE, -1);
+    FAIL_IF_STRUCK(flags & O_CREAT ? CREATE : OPEN, -1);
     return real(path, flags, mode);
 }
 
@@ -208,7 +206,7 @@
     va_start(more, flags);
     mode_t mode = flags & O_CREAT ? va_arg(more, mode_t) : 0;
     va_end(more);
-    return created(path, flags, mode);
+    return opened(path, flags, mode);
 }
 
 int open64(const char *path, int flags, ...) {
@@ -216,7 +214,7 @@
     va_start(more, flags);
     mode_t mode = flags & O_CREAT ? va_arg(more, mode_t) : 0;
     va_end(more);
-    return created(path, flags, mode);
+    return opened(path, flags, mode);
 }
 
 static void step(struct timespec *at) {
--- a/soak/shim.py
+++ b/soak/shim.py
@@ -32,6 +32,7 @@
     FSYNC = 9
     RENAME = 10
     CREATE = 11  # open of a file that is made by it
+    OPEN = 12  # open of a file that is there
 
 
 # What Linux documents for each call and a program on sockets may meet while the connection itself is sound.
@@ -54,6 +55,7 @@
     Call.FSYNC: (errno.EIO, errno.ENOSPC),
     Call.RENAME: (errno.ENOSPC, errno.EIO),
     Call.CREATE: (errno.ENOSPC, errno.EMFILE),
+    Call.OPEN: (errno.ENFILE, errno.EIO),
 }
 
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -188,6 +188,37 @@
     play(tmp_path, [Fault(Call.CONNECT, errno.EADDRNOTAVAIL)], resetting_servers)
 
 
+# Guards against a new configuration that is dropped because its file could not be read for a moment.
+def test_a_new_configuration_counts_although_its_file_cannot_be_read_at_first(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Stage(tmp_path, SEED, StageSetup(routers=1)) as stage:
+            router, shim = stage.routers["n0"], stage.shims["n0"]
+            shim.set(Fault(Call.OPEN, errno.ENFILE))
+            router.reload()
+            await asyncio.sleep(0.5)
+            assert shim.clear(Call.OPEN)
+            await asyncio.sleep(0.5)
+            assert "n0: reloaded" in router.log_text() and "kept the old" not in router.log_text()
+
+    asyncio.run(main())
+
+
+# Guards against a router that ends at its start because no socket could be made just then.
+def test_a_router_starts_although_no_socket_can_be_made_at_first(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Stage(tmp_path, SEED, StageSetup(routers=1)) as stage:
+            shim = stage.shims["n0"]
+            shim.set(Fault(Call.SOCKET, errno.ENFILE))
+            starting = asyncio.create_task(stage.kill_and_restart("n0"))
+            while not shim.hits(Call.SOCKET):
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(1.0)
+            shim.clear(Call.SOCKET)
+            await starting
+
+    asyncio.run(main())
+
+
 # Guards against records that are lost, and a recorder that ends, because the disk was full for a moment.
 @pytest.mark.parametrize("call", [Call.FILE_WRITE, Call.CREATE])
 def test_no_record_is_lost_while_the_disk_is_full(call: Call, tmp_path: Path) -> None:
