Refuse what comes in the last moments of a drain instead of dropping it

With short deadlines, requests that clients sent on open connections between the last answers of a drain and the exit were taken, sent on and then dropped with their connection. Cause: the router answered all open requests once, then took new ones for another 0.2 s, and refusals began 1.8 s after SIGTERM although such a process leaves after 1.6 s. Now refusals begin at half of a shorter drain, and from its last moment on whatever comes is refused at once, until all is written or the kill is 0.05 s away.

--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -183,6 +183,7 @@
         self.txns: set[str] = set()  # of the open ones
         self.answers: Counter[tuple[str, Verdict]] = Counter()  # by class
         self.closing = False  # nothing new is begun: the router is leaving
+        self.ending = False  # the same without an exception: the process ends
         self.serial = self.bodies = 0
         self.heed: Callable[[], None] = lambda: None  # takes in what was told and not read yet
         self.seen: Seen | None = None
@@ -198,8 +199,8 @@
         self.serial += 1
         request.key, request.taken = f"q{self.serial}", now_us()
         self.bodies += len(request.body)  # both bound the memory of all open requests together
-        if (self.closing and not first) or self._full():
-            metrics.count("refused.closing" if self.closing else "refused.full")
+        if self.ending or (self.closing and not first) or self._full():
+            metrics.count("refused.closing" if self.closing or self.ending else "refused.full")
             self._answer(request, Answer(Verdict.REFUSED, later=self.decider.stay_away()))
             return
         if request.txn in self.txns:  # servers know a request by it: two would get each other's answers
@@ -222,8 +223,10 @@
         self._decide(request, lambda: self.decider.left(request))
         self._withdraw(request)
 
-    def settle_all(self) -> None:
-        """The last moment of a drain: everything still open gets the final answer that the rules allow."""
+    def end(self) -> None:
+        """The last moment of a drain: everything still open gets the final answer that the rules allow, and
+        whatever comes is refused."""
+        self.ending = True
         for request in list(self.open.values()):
             self.settle(request)
 
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -39,6 +39,9 @@
 
 LINGER = 0.8  # seconds after SIGTERM or PAUSE in which new connections may still come
 REFUSE = 1.8  # seconds after which clients that still ask on their connection are refused
+REFUSE_PART = 0.5  # the same as a part of the drain, where deadlines are short
+FLUSH = 0.25  # seconds for the last answers to leave: the platform ends the process 0.05 s later
+DRAIN_POLL = 0.005  # seconds between two looks for the end of the drain
 SETTLE = 3.4  # seconds after PAUSE at which those that go on asking get their last answers
 SWEEP = 0.1
 RELOAD_TRIES, RELOAD_AGAIN = 50, 0.1  # reads of a configuration, and seconds between two of them
@@ -244,7 +247,7 @@
             self.clients.leave()
             for front in self.fronts:
                 front.leave()
-        self.exchange.closing = past >= REFUSE
+        self.exchange.closing = past >= min(REFUSE, REFUSE_PART * self.conf.limits.drain)
         if past >= SETTLE and self.phase is Phase.PAUSED:
             self.clients.settle()
 
@@ -366,15 +369,12 @@
         for listener in (self.clients, *self.fronts):
             await listener.stop_listening()
         await asyncio.sleep(SWEEP / 2)  # what was in the queue is read before anyone looks for quiet
-        while not self.quiet():
-            if time.monotonic() - start > self.conf.limits.drain:
-                self.exchange.settle_all()
-                break
+        last_answers = start + self.conf.limits.drain
+        while not self.quiet() and time.monotonic() < last_answers + FLUSH:
+            if time.monotonic() > last_answers:
+                self.exchange.end()
             self._retreat()
-            await asyncio.sleep(0.01)
-        end = time.monotonic() + 0.2
-        while not self.quiet() and time.monotonic() < end:
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(DRAIN_POLL)
 
 
 def missing(problem: ImportError, what: str) -> str:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -16,6 +16,7 @@
 from onyxpulley.incident.records import Kind, Record
 from soak.clients import ClientConnection
 from soak.rules import Violation
+from soak.run import SHORT_CLASSES
 from soak.servers import Mode
 from soak.shim import Call, Fault
 from soak.stage import Stage, StageSetup
@@ -220,6 +221,23 @@
     asyncio.run(main())
 
 
+# Guards against requests that come in the last moments before the end, where deadlines are short.
+def test_clients_that_send_until_the_kill_lose_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        shape = TrafficShape(rate=200.0, connections=3, cancels=0.0, leaves=0.0)
+        setup = StageSetup(shape=shape, routers=1, classes=SHORT_CLASSES, mean_time=0.12)
+        async with Stage(tmp_path, SEED, setup) as stage:
+            stage.start_traffic()
+            for _ in range(4):
+                await asyncio.sleep(0.4)
+                assert await stage.restart("n0") < stage.earliest_kill()
+            await stage.settle()
+            broken = stage.verdict()
+            assert not broken, "\n".join(map(str, broken[:5]))
+
+    asyncio.run(main())
+
+
 # Guards against a death by SIGTERM or SIGHUP that come in series, up to the last moment of the process.
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
 def test_signals_in_series_change_nothing_of_a_clean_end(number: signal.Signals, tmp_path: Path) -> None:
