Keep copies, purges, slow start and tokens free of steps of the wall clock

After a step of the wall clock by -1 h a router served its own copies past their time (2.8 s old, good for 2 s), and a router started on a clock that was ahead took a server that had just started for warm and a purge for long past. Cause: ages were differences between the wall clock of the moment, or of the start, and the platform's stamps. Now clock.py owns all clocks: spans are monotonic, dates count from one look at the wall clock at the start, and ages come from the platform's own stamps, on the safe side: a server is no older than a stamp of discovery proves, a purge that is told now counts from now, a copy is as old as any clock says. The soak tool checks the age and purge rules.

--- a/onyxpulley/bulletin.py
+++ b/onyxpulley/bulletin.py
@@ -6,15 +6,15 @@
 import contextlib
 import random
 import socket
-import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
 from onyxpulley import logs, metrics
 from onyxpulley.buffers import Buffer
+from onyxpulley.clock import monotonic
 from onyxpulley.core import Exchange
 from onyxpulley.facade import Facade, Member
-from onyxpulley.news import QUIET, UP, BadNews, Event, Ledger, Recall, Roster, Watch, event
+from onyxpulley.news import QUIET, UP, BadNews, Event, Ledger, Recall, Roster, Watch, event, stamps_of
 from onyxpulley.servers import Servers
 from onyxpulley.streams import close_quietly
 
@@ -41,7 +41,7 @@
                 await loop.sock_connect(self.sock, address)
                 await loop.sock_sendall(self.sock, b"after %d\n" % self.bulletin.no)
             self.up = True
-            self.bulletin.watch.up(time.monotonic(), key)
+            self.bulletin.watch.up(monotonic(), key)
             loop.add_reader(self.sock, self.bulletin.read, key)
         except OSError as problem:
             metrics.count_failed_call("connect.discovery", problem)
@@ -97,7 +97,7 @@
         self.calls: dict[int, Call] = {}
         self.changed = asyncio.Event()
         self.caught_up = asyncio.Event()  # it spoke, and what came with its first words has been taken in
-        self.looked = self.heard = time.monotonic()
+        self.looked = self.heard = monotonic()
         self.listed: Callable[[bool, Sequence[Member]], None] = lambda full, members: None
         self.purged: Callable[[str | None, int | None, int], None] = lambda item, lot, issued: None
 
@@ -108,17 +108,22 @@
     # ---- Events
     def known(self, no: int, rows: Sequence[dict[str, Any]]) -> None:
         """The events of the start. Raises one of `BAD`."""
-        for row in rows:
-            self.apply(event(row))
+        found = [event(row) for row in rows]
+        for stamp in (stamp for one in found for stamp in stamps_of(one)):
+            self.facade.platform.saw_at_start(stamp)
+        for one in found:
+            self.apply(one, live=False)
         self.ledger.no = no
 
-    def apply(self, found: Event | None) -> None:
+    def apply(self, found: Event | None, live: bool = True) -> None:
+        for stamp in stamps_of(found) if live else ():
+            self.facade.platform.saw_event(stamp)
         if isinstance(found, Roster):
             self._roster(found.full, found.members)
         elif isinstance(found, Recall):
             self.purged(found.item, found.lot, found.issued)
             self.exchange.copies.purge(found.item, found.lot, found.issued)
-            self.exchange.run(self.facade.purge(found.item, found.lot, found.issued))
+            self.exchange.run(self.facade.purge(found.item, found.lot, found.issued, live))
 
     def _roster(self, full: bool, members: Sequence[Member]) -> None:
         if not members and not full:
@@ -148,7 +153,7 @@
             while True:
                 self.changed.clear()
                 self.read_all()  # what is here already is no silence
-                step = self.watch.step(time.monotonic())
+                step = self.watch.step(monotonic())
                 for key in step.end:
                     self.end(key)
                 if step.begin:
@@ -161,12 +166,12 @@
                 self.end(key)
 
     def _begin(self) -> None:
-        key = self.watch.begun(time.monotonic())
+        key = self.watch.begun(monotonic())
         try:
             call = self.calls[key] = Call(self)
         except OSError as problem:  # no descriptor left: it is tried again
             self.say(str(problem))
-            self.watch.ended(time.monotonic(), key)
+            self.watch.ended(monotonic(), key)
             return
         call.task = asyncio.create_task(call.run(key, self.address))
 
@@ -174,13 +179,13 @@
         call = self.calls.pop(key, None)
         if call is not None:
             call.close()
-            self.watch.ended(time.monotonic(), key)
+            self.watch.ended(monotonic(), key)
             self.changed.set()
 
     def heed(self) -> None:
         """Before a write: news that lies unread behind other work counts as told. Guards against a drain that
         waits while requests are worked off."""
-        if time.monotonic() - self.looked >= LOOK:
+        if monotonic() - self.looked >= LOOK:
             self.read_all()
 
     def read_all(self) -> None:
@@ -192,7 +197,7 @@
         call = self.calls.get(key)
         if call is None:
             return
-        self.looked, before = time.monotonic(), call.got
+        self.looked, before = monotonic(), call.got
         try:
             lines = call.lines()
             if call.got > before:
@@ -218,6 +223,8 @@
             for line in lines:
                 found = self.ledger.read(line)
                 if isinstance(found, Roster) and not found.full:
+                    for stamp in stamps_of(found):
+                        self.facade.platform.saw_event(stamp)
                     changes += found.members
                 elif found is not None:
                     self._roster(False, changes)
--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -177,8 +177,8 @@
             server.weight = entry.weight if entry.weight > 0 else 1.0
             fresh = entry.started > 0 and entry.started != server.started
             if fresh or (server.state == State.GONE and entry.state == State.READY):
-                young = entry.started > 0 and self.now - entry.started < self.cold_time(server)
-                server.renew(entry.started if young else 0)
+                young = entry.started > 0 and self.now - entry.cold_since < self.cold_time(server)
+                server.renew(entry.cold_since if young else 0)
             server.started, server.state = entry.started, entry.state
         self.servers = {i: s for i, s in self.servers.items() if s.state != State.GONE or self.counts(s)}
         origins = (s for s in self.servers.values() if s.role == "origin" and s.state == State.READY)
--- a/onyxpulley/copies.py
+++ b/onyxpulley/copies.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections import OrderedDict
 from dataclasses import dataclass
 
-KEEP_PURGES = 60_000  # ms; far longer than servers take to drop what is older than a purge
+from onyxpulley.clock import now_us
+
+KEEP_PURGES = 60_000_000  # us; far longer than servers take to drop what is older than a purge
 PURGES = 20_000
 OVERHEAD = 400  # bytes of a copy beside its body
 
@@ -20,9 +21,6 @@
     stamp: int  # Unix ms at which the origin gave it out
     group: int | None
 
-    def age_us(self) -> int:
-        return time.time_ns() // 1000 - self.stamp * 1000
-
 
 class Copies:
     """Least lately used goes first. `most` 0 keeps nothing."""
@@ -30,7 +28,7 @@
     def __init__(self, most: int) -> None:
         self.most, self.size = most, 0
         self.all: OrderedDict[Name, Copy] = OrderedDict()
-        self.purges: dict[tuple[str, object], int] = {}
+        self.purges: dict[tuple[str, object], tuple[int, int]] = {}  # when issued (Unix ms), when told (us)
 
     def find(self, name: Name) -> Copy | None:
         copy = self.all.get(name)
@@ -60,16 +58,19 @@
     def purge(self, item: str | None, group: int | None, issued_ms: int) -> None:
         """Drops at once what is older, and remembers, so that nothing older is taken in again."""
         key = ("item", item) if item is not None else ("group", group)
-        self.purges[key] = max(issued_ms, self.purges.get(key, 0))
+        now = now_us()
+        self.purges[key] = max(issued_ms, self._issued(key)), now
         if len(self.purges) > PURGES:
-            now = time.time_ns() // 1_000_000
-            self.purges = {k: at for k, at in self.purges.items() if now - at < KEEP_PURGES}
+            self.purges = {k: row for k, row in self.purges.items() if now - row[1] < KEEP_PURGES}
         for name, copy in list(self.all.items()):
             if copy.stamp <= issued_ms and (name[1] == item if item is not None else copy.group == group):
                 self._drop(name)
 
     def _purged(self, item: str, group: int | None) -> int:
-        return max(self.purges.get(("item", item), 0), self.purges.get(("group", group), 0))
+        return max(self._issued(("item", item)), self._issued(("group", group)))
+
+    def _issued(self, key: tuple[str, object]) -> int:
+        return self.purges.get(key, (0, 0))[0]
 
     def _drop(self, name: Name) -> None:
         self.size -= len(self.all.pop(name).body) + OVERHEAD
--- a/onyxpulley/facade.py
+++ b/onyxpulley/facade.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import heapq
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
 from onyxpulley import interface as api
 from onyxpulley import logs
-from onyxpulley.clock import now_us
+from onyxpulley.clock import PlatformClock, now_us
 from onyxpulley.config import BadConfig
 from onyxpulley.control import Router
 from onyxpulley.core import (
@@ -66,7 +65,7 @@
     ) -> None:
         self._read(replace(read_settings(params), own_transfers=own_transfers, memo=memo))
         self.clock = clock
-        self.offset = time.time_ns() // 1000 - clock()  # fixed: one start is one stamp for the module
+        self.platform = PlatformClock(clock)
         self.router = Router(self.settings, seed)
         self.live: dict[str, Request] = {}
         self.timers: list[tuple[int, int]] = []
@@ -123,7 +122,7 @@
                 request.part,
                 repeat=request.again,
                 tenant=request.tenant,
-                own=request.own.age_us() if request.own is not None else None,
+                own=self.platform.most_age_us(request.own.stamp) if request.own is not None else None,
                 confirm=request.own is not None and bool(request.have) and request.have == request.own.tag,
             )
         )
@@ -185,14 +184,18 @@
                 m.cell,
                 STATES[m.state],
                 m.weight,
-                max(1, m.boot_ms * 1000 - self.offset) if m.boot_ms else 0,
+                m.boot_ms,
+                max(1, self.clock() - self.platform.least_age_us(m.boot_ms)),
             )
             for m in members
         )
         return self._tell(api.Listing(api.ListKind.FULL if full else api.ListKind.CHANGES, rows))
 
-    def purge(self, item: str | None, group: int | None, issued_ms: int) -> Sequence[Order]:
-        age = max(0, time.time_ns() // 1000 - issued_ms * 1000)
+    def purge(
+        self, item: str | None, group: int | None, issued_ms: int, live: bool = True
+    ) -> Sequence[Order]:
+        """A purge that is told now counts from now; one that is known at the start is as old as is sure."""
+        age = 0 if live else self.platform.least_age_us(issued_ms)
         return self._tell(api.Purged(group, age, item))
 
     # ---- Translation
--- a/onyxpulley/incident/recorder.py
+++ b/onyxpulley/incident/recorder.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import threading
-import time
 from collections.abc import Sequence
 from io import BufferedWriter
 from pathlib import Path
@@ -16,6 +15,7 @@
 import pyarrow as pa
 
 from onyxpulley import logs, metrics
+from onyxpulley.clock import monotonic, unix_us
 from onyxpulley.incident.files import SUFFIX, batch_of, schema_of
 from onyxpulley.incident.keep import Keep
 from onyxpulley.incident.records import Origin, Record
@@ -26,10 +26,6 @@
 BEHIND = 4  # seconds that may wait for the disk; what comes then is counted as dropped
 
 
-def unix_us() -> int:
-    return time.time_ns() // 1000
-
-
 class Recorder:
     def __init__(self, name: str, zone: str, keep: Keep) -> None:
         """Raises OSError where the folder can't be written for a lasting reason."""
@@ -38,7 +34,7 @@
         self.queue: Queue[Sequence[Record] | None] = Queue(BEHIND)
         self.part = -1
         self.failed = 0
-        self.next = time.monotonic() + 1.0
+        self.next = monotonic() + 1.0
         self.ending = threading.Event()
         self.file: BufferedWriter | None = None
         self.stream: pa.RecordBatchStreamWriter | None = None
@@ -54,7 +50,7 @@
     # ---- On the loop
     def tick(self) -> None:
         """With the program's sweep."""
-        now = time.monotonic()
+        now = monotonic()
         if now >= self.next:
             self.next = max(self.next + 1.0, now)
             self._hand_over()
--- a/onyxpulley/interface.py
+++ b/onyxpulley/interface.py
@@ -144,7 +144,12 @@
     cell: int = 0
     state: State = State.READY
     weight: float = 1.0
-    started: int = 0  # 0: long ago
+    started: int = 0  # which start of it this is: a later one has another number; 0: long ago
+    since: int | None = None  # when that was on the events' clock, at the latest; else `started`
+
+    @property
+    def cold_since(self) -> int:
+        return self.started if self.since is None else self.since
 
 
 @dataclass(frozen=True, slots=True)
--- a/onyxpulley/logs.py
+++ b/onyxpulley/logs.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from onyxpulley import metrics
+from onyxpulley.clock import monotonic, unix_seconds
 
 STANDARD_ERROR = 2
 LONGEST = 300  # characters of a value: peers choose some of them
@@ -97,12 +98,12 @@
 
 def event(part: str, name: str, **fields: object) -> None:
     """One line of fields. Rates are limited for each part and event."""
-    passed_over = _limit.admit(f"{part}.{name}", time.monotonic())
+    passed_over = _limit.admit(f"{part}.{name}", monotonic())
     if passed_over is None:
         return
     if passed_over:
         fields["passed_over"] = passed_over
-    at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime())
+    at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(unix_seconds()))
     row = {"time": f"{at}Z", "part": part, "event": name, **fields}
     _logger.info("%s", " ".join(f"{key}={_shown(value)}" for key, value in row.items()))
 
--- a/onyxpulley/news.py
+++ b/onyxpulley/news.py
@@ -43,6 +43,13 @@
 Event = Roster | Recall
 
 
+def stamps_of(found: Event | None) -> list[int]:
+    """The platform's times (Unix ms) in an event: none of them is in its future."""
+    if isinstance(found, Recall):
+        return [found.issued]
+    return [m.boot_ms for m in found.members if m.boot_ms] if found is not None else []
+
+
 def member(row: dict[str, Any]) -> Member:
     if row["state"] not in STATES:
         raise ValueError(f"unknown state {str(row['state'])[:40]!r}")
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -18,7 +18,7 @@
 from onyxpulley import config, logs, metrics
 from onyxpulley.bulletin import Bulletin
 from onyxpulley.clients import Clients
-from onyxpulley.clock import now_us
+from onyxpulley.clock import monotonic, now_us
 from onyxpulley.console import Console, Figure
 from onyxpulley.copies import Copies
 from onyxpulley.core import Exchange, Verdict
@@ -67,7 +67,7 @@
         self.facade = Facade(conf.settings, conf.seed, conf.transfers, conf.limits.memo)
         self.servers = Servers(conf.limits)
         self.exchange = Exchange(self.facade, self.servers, conf.limits, Copies(conf.limits.copies))
-        self.servers.exchange = self.exchange
+        self.servers.exchange, self.servers.saw_copy = self.exchange, self.facade.platform.saw_copy
         self.bulletin = Bulletin(
             conf.bulletin, conf.seed, conf.limits.line, self.facade, self.exchange, self.servers
         )
@@ -137,7 +137,7 @@
         await asyncio.wait([stop, caught_up, *tasks], timeout=UP, return_when=asyncio.FIRST_COMPLETED)
         caught_up.cancel()
         if not stop.done():
-            self.since = time.monotonic()
+            self.since = monotonic()
             self.enter(Phase.PAUSED if self.held else Phase.SERVING)
         done, _ = await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
         for task in done:
@@ -159,13 +159,13 @@
     @staticmethod
     async def _listen(front: Listener, address: tuple[str, int]) -> None:
         """Raises BadConfig where the address cannot be listened on."""
-        end = time.monotonic() + START_WITHIN
+        end = monotonic() + START_WITHIN
         while True:
             try:
                 return front.listen(address)
             except OSError as problem:
                 metrics.count_failed_call("listen", problem)
-                if meaning_of(problem) is not Meaning.LOCAL or time.monotonic() > end:
+                if meaning_of(problem) is not Meaning.LOCAL or monotonic() > end:
                     raise config.BadConfig(f"cannot listen on {address}: {problem}") from problem
             await asyncio.sleep(SWEEP)
 
@@ -203,7 +203,7 @@
         """Drains, and goes on when told to. Says so at once; what follows is `_retreat`."""
         self.held = True
         if self.phase is Phase.SERVING:
-            self.since = time.monotonic()
+            self.since = monotonic()
             self.enter(Phase.PAUSED)
         return ""
 
@@ -242,7 +242,7 @@
         is refused, and who never falls idle gets its last answers."""
         if self.phase in (Phase.STARTING, Phase.SERVING):
             return
-        past = time.monotonic() - self.since
+        past = monotonic() - self.since
         if past >= LINGER:
             self.clients.leave()
             for front in self.fronts:
@@ -362,7 +362,7 @@
             self.clients.fit = self.fit()
 
     async def _drain(self) -> None:
-        self.since = start = time.monotonic()
+        self.since = start = monotonic()
         self.enter(Phase.LINGERING)
         await asyncio.sleep(LINGER)
         self.enter(Phase.DRAINING)
@@ -370,8 +370,8 @@
             await listener.stop_listening()
         await asyncio.sleep(SWEEP / 2)  # what was in the queue is read before anyone looks for quiet
         last_answers = start + self.conf.limits.drain
-        while not self.quiet() and time.monotonic() < last_answers + FLUSH:
-            if time.monotonic() > last_answers:
+        while not self.quiet() and monotonic() < last_answers + FLUSH:
+            if monotonic() > last_answers:
                 self.exchange.end()
             self._retreat()
             await asyncio.sleep(DRAIN_POLL)
@@ -441,12 +441,12 @@
 
 def load_config() -> config.Config:
     """Raises BadConfig."""
-    end = time.monotonic() + START_WITHIN
+    end = monotonic() + START_WITHIN
     while True:
         try:
             return config.load(os.environ)
         except config.NotReadNow:
-            if time.monotonic() > end:
+            if monotonic() > end:
                 raise
         time.sleep(SWEEP)
 
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import socket
-import time
 from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from onyxpulley import fields, logs, metrics
@@ -278,6 +278,7 @@
         report.note = NOTES.get(row.get("tell", ""), 0)
         report.waited = int(min(1e9, max(0.0, float(row.get("took", "0")))) * 1000)
         report.stamp = fields.number(row.get("stamp", "0"), 0, 2**53)
+        self.pool.servers.saw_copy(report.stamp)
         if "meter" in row:
             report.load = self.pool.read_load(row["meter"])
         attempt = self.out.pop(words[0])
@@ -399,6 +400,7 @@
         self.exchange: Exchange
         self.ending = False
         self.trust: Trust = Listed()
+        self.saw_copy: Callable[[int], None] = lambda stamp: None  # told the stamps of copies
         self.pools: dict[str, Pool] = {}
         self.retired: list[Pool] = []
         self.forwards = 0  # attempts written whole
@@ -470,7 +472,3 @@
         self.ending = True
         for pool in (*self.pools.values(), *self.retired):
             pool.close()
-
-
-def unix_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/onyxpulley/signed.py
+++ b/onyxpulley/signed.py
@@ -10,7 +10,6 @@
 import math
 import re
 import secrets
-import time
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
@@ -18,7 +17,7 @@
 from urllib.parse import parse_qsl
 
 from onyxpulley import fields
-from onyxpulley.clock import now_us
+from onyxpulley.clock import monotonic, now_us
 from onyxpulley.core import Answer, Exchange, Request, Verdict
 from onyxpulley.http import Call, Connection, Response, told
 from onyxpulley.spiffe.peers import Standing
@@ -96,7 +95,7 @@
         once = bool(grant.jti) and not self.facade.safe(request.cls)
         if once and grant.jti in tenant.usage.seen:
             return self.denied(Denied("the token was used"), "unknown")
-        wait = tenant.admit(time.monotonic())
+        wait = tenant.admit(monotonic())
         if wait:
             tenant.usage.count("over quota")
             retry = str(max(1, math.ceil(wait)))
--- a/onyxpulley/spiffe/trust.py
+++ b/onyxpulley/spiffe/trust.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import socket
-import time
 from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from OpenSSL import SSL
 
+from onyxpulley.clock import monotonic, unix_seconds
 from onyxpulley.logs import lines_of
 from onyxpulley.spiffe.ids import BadIdentity
 from onyxpulley.spiffe.peers import Bond, Expectations, Peers, Standing
@@ -80,7 +80,7 @@
 class Keeper:
     """Holds the identities of the program; its `tick` runs with the program's sweep."""
 
-    def __init__(self, setup: Setup, clock: Callable[[], float] = time.time) -> None:
+    def __init__(self, setup: Setup, clock: Callable[[], float] = unix_seconds) -> None:
         """Raises BadIdentity where files cannot be used at the start."""
         self.setup, self.clock, self.say = setup, clock, lines_of("identity")
         self.identities = Identities(setup.domain, setup.hint, setup.skew)
@@ -233,7 +233,7 @@
 
     def _line(self, event: str, **fields: object) -> None:
         """Guards the log against peers that come again and again."""
-        now = time.monotonic()
+        now = monotonic()
         if now - self.said_at >= 1.0:
             if self.said > LINES:
                 self.say("limited", more=self.said - LINES)
--- a/onyxpulley/tenants.py
+++ b/onyxpulley/tenants.py
@@ -7,7 +7,6 @@
 
 import hashlib
 import re
-import time
 from base64 import urlsafe_b64encode
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,6 +16,8 @@
 from joserfc.errors import JoseError
 from joserfc.jwk import ECKey, OctKey, OKPKey, RSAKey, import_key
 
+from onyxpulley.clock import unix_seconds
+
 ALGORITHMS = {  # the only ones: each is pinned to a kind of key, so none can stand in for another
     "HS256": ("oct", 32),
     "ES256": ("EC", 0),
@@ -110,7 +111,7 @@
 
     def first_use(self, grant: Grant) -> bool:
         """Takes the token of a job once (RFC 9246, jti). False: it was used, or no more can be remembered."""
-        now = time.time()
+        now = unix_seconds()
         if len(self.seen) >= NONCES:
             self.seen = {jti: end for jti, end in self.seen.items() if end > now}
         if grant.jti in self.seen or len(self.seen) >= NONCES:
@@ -236,7 +237,7 @@
         audience = claims.get("aud")
         if tenant.audience not in (audience if isinstance(audience, list) else [audience]):
             raise Denied("wrong audience")
-        now = time.time()
+        now = unix_seconds()
         if now >= _date(claims, "exp"):
             raise Denied("expired")
         if "nbf" in claims and now < _date(claims, "nbf"):
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -46,14 +46,18 @@
     word, row = words[1].decode("latin-1"), words[2].decode("latin-1") if len(words) > 2 else ""
     body = words[3] if len(words) > 3 else b""
     same = "same=1" in row.split(",")
-    problem = ""
-    if word == "good":
+    problem, stamp = "", 0
+    tag = next((f[6:] for f in row.split(",") if f.startswith("have=t")), "")
+    if word == "good" and not tag.isdigit():
+        problem = "no tag that a server made"
+    elif word == "good":
+        stamp = int(tag)
         wanted = expected_body(record.cls, record.item, record.part, body_size(record.item))
         if same:
             problem = "a copy is called current that the client does not hold"
         elif body != wanted:
             problem = f"{len(body)} bytes that are not the object's {len(wanted)}"
-    return Reply(now(), word, same, body if problem else b"", problem)
+    return Reply(now(), word, same, body if problem else b"", problem, stamp)
 
 
 class ClientConnection:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -15,16 +15,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """A class of requests. `deadline`: the longest that a client of it waits, seconds."""
+    """A class of requests. Seconds: `deadline`, the longest that a client of it waits, and `fresh`, for how
+    long a copy is good (0: until it is purged)."""
 
     name: str
     effect: str
     deadline: float
+    fresh: float = 0.0
     uncached: bool = False
 
 
 VIDEO = RequestClass("video-part", SAFE, 5.0)
-PAGE = RequestClass("page-file", SAFE, 3.0)
+PAGE = RequestClass("page-file", SAFE, 3.0, fresh=2.0)
 JOB = RequestClass("convert-job", UNSAFE, 3.0, uncached=True)
 CLASSES = (VIDEO, PAGE, JOB)
 
@@ -80,7 +82,7 @@
             "bypassAllowed": True,
             "canJoin": True,
             "noteLevel": "all",
-            "goodFor": [0 if c.uncached else 20_000_000 for c in classes],
+            "goodFor": [int(c.fresh * 1e6) for c in classes],
             "staleFor": [0 for _ in classes],
             "uncached": [c.uncached for c in classes],
             "clearedWithin": 6_000_000,
--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -7,9 +7,10 @@
 from collections.abc import Sequence
 
 from soak.deployment import Json, Listed, roster_event
-from soak.records import Evidence, now
+from soak.records import Evidence, Purge, now, unix_ms
 
 BEAT = 1.0  # seconds between two lines with the last number
+TOLD_WITHIN = 7.0  # seconds after which routers count as told, connected or not
 
 
 class StandInDiscovery:
@@ -49,7 +50,11 @@
                 self.evidence.told.setdefault(server.uid, now())
         self._publish(roster_event(len(self.events) + 1, servers, full))
 
-    def purge(self, item: str, issued_ms: int) -> None:
+    def purge(self, item: str) -> None:
+        """Of all copies that the origin gave out before now."""
+        issued_ms = unix_ms()
+        told = now() + (TOLD_WITHIN if self.down else 0.0)
+        self.evidence.purges.append(Purge(item, issued_ms, told))
         self._publish({"no": len(self.events) + 1, "recall": {"item": item, "issued": issued_ms}})
 
     def _publish(self, event: Json) -> None:
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -7,7 +7,6 @@
 import errno
 import random
 import signal
-import time
 from collections.abc import Awaitable, Callable
 
 from soak.clients import ClientConnection
@@ -15,6 +14,7 @@
 from soak.servers import Mode, StandInServer
 from soak.shim import ERRORS, Call, Fault
 from soak.stage import Stage
+from soak.traffic import item_of
 
 Disturbance = Callable[[Stage, random.Random], Awaitable[str]]
 
@@ -84,9 +84,10 @@
 
 
 async def purges(stage: Stage, luck: random.Random) -> str:
-    for _ in range(luck.randrange(1, 6)):
-        stage.discovery.purge(f"{luck.getrandbits(64):016x}", time.time_ns() // 1_000_000)
-        await asyncio.sleep(0.05)
+    """Of objects that are asked for often."""
+    for _ in range(luck.randrange(1, 20)):
+        stage.discovery.purge(item_of(luck.randrange(30)))
+        await asyncio.sleep(0.02)
     return "purges"
 
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -13,6 +13,10 @@
     return time.monotonic()
 
 
+def unix_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 @dataclass(slots=True)
 class Forward:
     """One arrival of a request at a server. `limit`: the deadline passed on, seconds."""
@@ -33,6 +37,7 @@
     same: bool
     body: bytes
     problem: str = ""  # why it cannot be a right answer; empty where it is one
+    stamp: int = 0  # Unix ms at which the origin gave out the copy that was served, 0 where none was
 
 
 @dataclass(slots=True)
@@ -77,6 +82,15 @@
         return " | ".join(parts)
 
 
+@dataclass(frozen=True, slots=True)
+class Purge:
+    """`issued`: Unix ms. `told`: when routers count as told of it, at the latest."""
+
+    item: str
+    issued: int
+    told: float
+
+
 @dataclass(slots=True)
 class Evidence:
     """All requests of a run by their id, and what speaks of no request alone."""
@@ -84,6 +98,7 @@
     requests: dict[str, RequestRecord] = field(default_factory=dict)
     notes: list[str] = field(default_factory=list)  # messages that no request explains
     told: dict[str, float] = field(default_factory=dict)  # servers told to drain or gone, and when
+    purges: list[Purge] = field(default_factory=list)
     longest_lag: float = 0.0  # by how much the stand-ins themselves were late, seconds
 
 
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
-from soak.records import Evidence, RequestRecord
+from soak.deployment import UNSAFE, RequestClass
+from soak.records import Evidence, RequestRecord, now, unix_ms
 
 SOCKET_SLACK = 0.05  # seconds by which every time limit is longer on sockets
 ANSWER_SLACK = 0.5  # seconds past its time in which a final answer is only worth nothing
 ENDED_SLACK = 0.1  # seconds after its end in which an attempt may still begin
 DEADLINE_SLACK = 0.15  # seconds by which a deadline passed on may exceed what the client has left
+PURGE_GRACE = 0.5  # seconds after it was told in which a purged copy may still be served
 DRAIN_GRACE = 0.25  # seconds after it was told in which a draining server may get new work
 
 
@@ -22,6 +24,7 @@
     AFTER_END = "forwarded after its end"
     DEADLINE = "deadline passed on"
     DUPLICATE = "ran twice"
+    STALE = "copy too old"
     DRAIN = "sent to a draining server"
     PROTOCOL = "protocol"
     CRASH = "crash"
@@ -38,14 +41,18 @@
         return f"{self.rule}: {self.detail}{course}"
 
 
-def check(evidence: Evidence, end: float, unsafe: frozenset[str]) -> list[Violation]:
+def check(evidence: Evidence, end: float, classes: Sequence[RequestClass]) -> list[Violation]:
     """All broken rules of a run that ended at `end`, in the order of the requests."""
+    unsafe = frozenset(c.name for c in classes if c.effect == UNSAFE)
+    fresh = {c.name: c.fresh for c in classes}
+    unix_offset = unix_ms() / 1000 - now()
     found: list[Violation] = [Violation(Rule.PROTOCOL, note) for note in evidence.notes]
     lag = evidence.longest_lag
     for record in sorted(evidence.requests.values(), key=lambda r: r.sent):
         found += _answers(record, end, lag)
         found += _forwards(record, lag)
         found += _drains(record, evidence, lag)
+        found += _stale(record, evidence, fresh.get(record.cls, 0.0), unix_offset)
         if record.cls in unsafe:
             found += _once(record)
     return found
@@ -86,6 +93,24 @@
             yield Violation(Rule.DRAIN, f"{forward.server}, {forward.at - told:.3f} s after", record)
 
 
+def _stale(
+    record: RequestRecord, evidence: Evidence, fresh: float, unix_offset: float
+) -> Iterator[Violation]:
+    """A copy's age counts to the writing of the request. `unix_offset`: the Unix time less the clock of the
+    records, seconds."""
+    slack = SOCKET_SLACK + evidence.longest_lag
+    for reply in record.replies[:1]:
+        if not reply.stamp:
+            continue
+        age = record.sent + unix_offset - reply.stamp / 1000
+        if fresh and age > fresh + slack:
+            yield Violation(Rule.STALE, f"{age:.3f} s old, good for {fresh:.3f} s", record)
+        for purge in evidence.purges:
+            late = reply.at - purge.told - PURGE_GRACE - slack
+            if purge.item == record.item and reply.stamp < purge.issued and late > 0:
+                yield Violation(Rule.STALE, f"older than a purge, {late:.3f} s late", record)
+
+
 def _once(record: RequestRecord) -> Iterator[Violation]:
     runs = sum(forward.ran for forward in record.forwards)
     if runs > 1:
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,7 +20,7 @@
 MEAN_GAP = 0.35  # seconds between two disturbances, in the mean
 SHORT_CLASSES = (
     RequestClass("video-part", "safe", 1.2),
-    RequestClass("page-file", "safe", 0.8),
+    RequestClass("page-file", "safe", 0.8, fresh=2.0),
     RequestClass("convert-job", "unsafe", 1.0, uncached=True),
 )
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -5,12 +5,11 @@
 import asyncio
 import contextlib
 import random
-import time
 from dataclasses import dataclass, field
 from enum import Enum
 
 from onyxpulley import fields
-from soak.records import Evidence, Forward, expected_body, now
+from soak.records import Evidence, Forward, expected_body, now, unix_ms
 
 READ_SIZE = 65_536
 LOAD_REPORT = "busy_reqs:{held};cpu_share:0.3"
@@ -130,8 +129,8 @@
                 self._write(connection, f"{txn} failed meter={meter} 0\r\n\r\n".encode())
                 return
             body = expected_body(cls, item, part, body_size(item))
-            stamp = time.time_ns() // 1_000_000
-            head = f"{txn} data version=v1,stamp={stamp},tell=local,meter={meter} {len(body)}\r\n"
+            stamp = unix_ms()
+            head = f"{txn} data version=t{stamp},stamp={stamp},tell=local,meter={meter} {len(body)}\r\n"
             forward.ended = "data"
             self._write(connection, head.encode() + body + b"\r\n")
         except asyncio.CancelledError:
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
-from soak.deployment import CLASSES, UNSAFE, Listed, RequestClass, RouterSetup, settings
+from soak.deployment import CLASSES, Listed, RequestClass, RouterSetup, settings
 from soak.discovery import StandInDiscovery
 from soak.records import Evidence, now
 from soak.router import RouterProcess, free_port
@@ -203,8 +203,7 @@
                 self.crashes.append(Violation(Rule.CRASH, f"{router.name} ended by itself with {code}"))
             if "Traceback" in router.log_text():
                 self.crashes.append(Violation(Rule.CRASH, f"{router.name}: a traceback in its log"))
-        unsafe = frozenset(c.name for c in self.setup.classes if c.effect == UNSAFE)
-        return [*self.crashes, *check(self.evidence, now(), unsafe)]
+        return [*self.crashes, *check(self.evidence, now(), self.setup.classes)]
 
     async def _watch_lag(self) -> None:
         while True:
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -16,6 +16,11 @@
 RECONNECT = 0.1  # seconds between two tries to connect
 
 
+def item_of(number: int) -> str:
+    """The object of that number; low numbers are asked for most."""
+    return f"{(number * 0x9E3779B97F4A7C15) % 2**64:016x}"
+
+
 @dataclass(frozen=True, slots=True)
 class TrafficShape:
     """What clients do. Rates are shares of the requests, but `rate`: requests a second at each router."""
@@ -110,10 +115,9 @@
         self.sent += 1
         cls = self.luck.choices(self.classes, self.shape.weights)[0]
         number = int(self.shape.objects * self.luck.random() ** 2)
-        item = f"{(number * 0x9E3779B97F4A7C15) % 2**64:016x}"
         txn = f"{self.luck.getrandbits(64):016x}"
         limit = cls.deadline * self.luck.uniform(self.shape.shortest_limit, 1.0)
-        return RequestRecord(txn, cls.name, item, self.luck.randrange(4), limit, self.router)
+        return RequestRecord(txn, cls.name, item_of(number), self.luck.randrange(4), limit, self.router)
 
     async def _one(self, connection: ClientConnection) -> None:
         record, chance = self.new_record(), self.luck.random()
