Count what a router sent a cold server before its own restart

Routers that restart forget what they sent within the window of the slow-start rule and send their share again: all routers together may send a server that has just started twice what it bears. Now a router counts its whole share as spent for the first window after its start. The window is a class of its own in slow_start.py, the hashes moved to hashing.py.

--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import math
-from collections import deque
-from hashlib import blake2b
 
 from onyxpulley import interface as api
+from onyxpulley.hashing import part_of, score
 from onyxpulley.interface import Effect, Note, Outcome, State
 from onyxpulley.memo import Flow, Memo
+from onyxpulley.slow_start import WorkWindow
 
 # ---- Tuned values: unit, reason, and what half or double would do.
 MS = 1000
@@ -53,23 +53,6 @@
 EWMA = 0.1  # weight of one sample in the running means
 
 
-def draw(key: bytes, first: str, second: str) -> float:
-    """A keyed hash of two names in (0, 1), the same in every process."""
-    raw = blake2b(f"{first}\0{second}".encode(), digest_size=8, key=key).digest()
-    return (int.from_bytes(raw, "big") + 0.5) / 2**64
-
-
-def score(obj: str, server: str, weight: float = 1.0) -> float:
-    """Winning hash of the design; a nominal weight is its load factor (CARP). The key keeps the project's old
-    name: another one would move every object, and routers of two builds would disagree."""
-    return -weight / math.log(draw(b"latchgrade", obj, server))
-
-
-def part_of(obj: str, server: str) -> float:
-    """Second hash: all routers agree by it which part of its objects a cold or crowded server takes."""
-    return draw(b"part", server, obj)
-
-
 class Server:
     """What this router knows of one edge cache, parent or origin."""
 
@@ -77,7 +60,7 @@
         self.id, self.zone, self.role, self.cell = entry.server, entry.zone, role, entry.cell
         self.weight, self.state, self.started = entry.weight, State.GONE, 0
         self.out: dict[tuple[str, int], Attempt] = {}
-        self.booked, self.booked_sum = deque[tuple[int, float]](), 0.0
+        self.sent_cold = WorkWindow()
         self.renew(0)
 
     def renew(self, warm_from: int) -> None:
@@ -118,7 +101,7 @@
     def __init__(self, settings: api.Settings, seed: int = 0) -> None:
         self.set = settings
         self.classes = {c.name: c for c in settings.classes}
-        self.now, self.next_token, self.asked_list = 0, 1, False
+        self.now, self.began, self.next_token, self.asked_list = 0, -1, 1, False
         self.actions: list[api.Action] = []
         self.servers: dict[str, Server] = {}
         self.origin: Server | None = None
@@ -179,6 +162,8 @@
             if fresh or (server.state == State.GONE and entry.state == State.READY):
                 young = entry.started > 0 and self.now - entry.cold_since < self.cold_time(server)
                 server.renew(entry.cold_since if young else 0)
+                if young and self.now < self.began + self.set.cold_window:
+                    server.sent_cold.book(self.began, self.allowance(server))  # as the process before it did
             server.started, server.state = entry.started, entry.state
         self.servers = {i: s for i, s in self.servers.items() if s.state != State.GONE or self.counts(s)}
         origins = (s for s in self.servers.values() if s.role == "origin" and s.state == State.READY)
@@ -221,25 +206,25 @@
         """Rule 4: against all routers together pushing over a cold server, each keeps to its share of the
         allowance in any window. Counts every attempt, so also guards against bursts of misses and retries.
         Hurts when this router has more than its share of the load: objects stay with the next in rank."""
-        warmth = self.warmth(server)
-        if warmth >= 1.0:
+        if self.warmth(server) >= 1.0:
             return True
+        spent = server.sent_cold.within(self.now, self.set.cold_window)
+        return spent + work <= self.allowance(server)
+
+    def allowance(self, server: Server) -> float:
+        """This router's share of the work that a cold server may be sent in one window."""
+        warmth = self.warmth(server)
         multiple = self.set.parent_cold_multiple if server.role == "parent" else self.set.cold_multiple
-        window = self.set.cold_window
-        while server.booked and server.booked[0][0] < self.now - window:
-            server.booked_sum -= server.booked.popleft()[1]
         part = COLD_PART if self.set.nominal_weights else COLD_PART_UNTOLD
-        limit = part * multiple * warmth * self.own_capacity(server) * window
-        return server.booked_sum + work <= limit
+        return part * multiple * warmth * self.own_capacity(server) * self.set.cold_window
 
     def book(self, server: Server, work: float) -> None:
         if self.warmth(server) < 1.0:
-            server.booked.append((self.now, work))
-            server.booked_sum += work
+            server.sent_cold.book(self.now, work)
 
     def counts(self, gone: Server) -> bool:
         """Still matters: something is out there, or was booked within the window. Else it is forgotten."""
-        return bool(gone.out) or any(at > self.now - self.set.cold_window for at, _ in gone.booked)
+        return bool(gone.out) or gone.sent_cold.counts(self.now, self.set.cold_window)
 
     def takes(self, server: Server, job: Job, work: float) -> bool:
         """A cold or crowded server takes a part of its objects, by one hash at every router. Guards against
@@ -804,6 +789,7 @@
     # ---- Dispatch
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now, self.actions = now, []
+        self.began = now if self.began < 0 else self.began
         match event:
             case api.Request():
                 self.on_request(event)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -56,9 +56,11 @@
 class World:
     """A router with its list, and what it has said so far."""
 
-    def __init__(self, settings: api.Settings = BASE, rows: tuple[api.Entry, ...] | None = None) -> None:
+    def __init__(
+        self, settings: api.Settings = BASE, rows: tuple[api.Entry, ...] | None = None, now: int = START
+    ) -> None:
         self.router = Router(settings, 1)
-        self.now = START
+        self.now = now
         self.ids = count()
         self.do(api.Listing(api.ListKind.CACHED, entries() if rows is None else rows))
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,8 @@
 from itertools import islice
 
 from onyxpulley import interface as api
-from onyxpulley.control import Router, part_of
+from onyxpulley.control import Router
+from onyxpulley.hashing import part_of
 from onyxpulley.interface import Note, Outcome
 
 from .helpers import BASE, SEC, START, World, entries, fetch
--- a/tests/test_hash.py
+++ b/tests/test_hash.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from onyxpulley.control import part_of, score
+from onyxpulley.hashing import part_of, score
 
 from .helpers import World, entries, fetch
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -262,7 +262,7 @@
         world.end(name, fetch(actions), note=Note.HIT, after=400_000)
     world.change(api.Entry("c0", "edge-1", "box", started=world.now))
     sent = [fetch(world.ask(f"n{i}", kb=1.0)[1]).server for i in range(60)].count("c0")
-    assert sent and world.router.servers["c0"].booked_sum > sent * 150_000
+    assert sent and world.router.servers["c0"].sent_cold.total > sent * 150_000
 
 
 def test_budget_does_not_swell_with_what_clients_repeat() -> None:
