--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -19,6 +19,7 @@
 Disturbance = Callable[[Stage, random.Random], Awaitable[str]]
 
 SOCKET_CALLS = (Call.SOCKET, Call.CONNECT, Call.ACCEPT, Call.RECV, Call.SEND, Call.CLOSE, Call.SETSOCKOPT)
+BAD_MESSAGES = (b"*9\r\n$1\r\n", b"GET / HTTP/1.1\r\n\r\n", b"*2\r\n$6\r\nSTA")
 CLOCK_STEPS = (-3600.0, -5.0, -0.7, 0.7, 5.0, 3600.0)  # seconds
 
 
@@ -46,9 +47,9 @@
 
 
 async def troubled_server(stage: Stage, luck: random.Random) -> str:
-    """A server hangs, fails, refuses or resets for a while."""
+    """A server hangs, fails, refuses, resets or spoils its answers for a while."""
     server = _server(stage, luck)
-    mode = luck.choice((Mode.HANGING, Mode.FAILING, Mode.FULL, Mode.RESETTING))
+    mode = luck.choice([mode for mode in Mode if mode is not Mode.SERVING])
     server.mode = mode
     await asyncio.sleep(luck.uniform(0.3, 3.0))
     server.mode = Mode.SERVING
@@ -134,6 +135,28 @@
     return f"{name}: clock {step:+.1f} s"
 
 
+async def bad_clients(stage: Stage, luck: random.Random) -> str:
+    """Clients that send what is no message, half of one, or a request behind which they go at once."""
+    name = luck.choice(sorted(stage.routers))
+    port, evidence = stage.routers[name].setup.port, Evidence()
+    for _ in range(luck.randrange(1, 12)):
+        connection = ClientConnection(evidence, name, port)
+        with contextlib.suppress(OSError):
+            await connection.connect()
+            connection.writer.write(luck.choice(BAD_MESSAGES))
+            await asyncio.sleep(luck.uniform(0.0, 0.1))
+            connection.leave()
+    return f"{name}: bad clients"
+
+
+async def garbage_from_discovery(stage: Stage, luck: random.Random) -> str:
+    """Lines that are no events, on every call to discovery."""
+    lines = (b"{\n", b"no json\n", b'{"no":"x"}\n', b"\xff\xfe\n", b'{"no":99999999,"recall":{}}\n')
+    for writer in list(stage.discovery.calls):
+        writer.write(luck.choice(lines))
+    return "garbage from discovery"
+
+
 async def crowd(stage: Stage, luck: random.Random) -> str:
     """Idle clients fill the descriptors of one router for a while."""
     name = luck.choice(sorted(stage.routers))
@@ -162,4 +185,6 @@
     "kill": kill,
     "clock": clock_step,
     "crowd": crowd,
+    "bad clients": bad_clients,
+    "garbage": garbage_from_discovery,
 }
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -13,6 +13,7 @@
 
 READ_SIZE = 65_536
 LOAD_REPORT = "busy_reqs:{held};cpu_share:0.3"
+LITTLE_TIME = 0.1  # seconds
 SMALL_BODY, LARGE_BODY = 600, 120_000  # bytes of an object's part
 LARGE_SHARE = 8  # one object in so many is large
 
@@ -25,6 +26,11 @@
     FAILING = "failing"  # answers `failed` quickly
     FULL = "full"  # refuses unseen
     RESETTING = "resetting"  # resets the connection under requests that have begun
+    GARBLING = "garbling"  # now and then a line that is no answer
+    STOPPING = "stopping"  # answers that begin and never end
+    REPEATING = "repeating"  # a second answer some milliseconds later
+    LEAVING = "leaving"  # closes the connection behind each answer
+    DROPPING = "dropping"  # passes over requests that have little time left, without a word
 
 
 def body_size(item: str) -> int:
@@ -128,16 +134,32 @@
                 forward.ended = "failed"
                 self._write(connection, f"{txn} failed meter={meter} 0\r\n\r\n".encode())
                 return
+            if self.mode is Mode.DROPPING and forward.limit < LITTLE_TIME:
+                forward.ran = False
+                await asyncio.Event().wait()
             body = expected_body(cls, item, part, body_size(item))
             stamp = unix_ms()
             head = f"{txn} data version=t{stamp},stamp={stamp},tell=local,meter={meter} {len(body)}\r\n"
             forward.ended = "data"
-            self._write(connection, head.encode() + body + b"\r\n")
+            await self._write_data(connection, head.encode() + body + b"\r\n")
         except asyncio.CancelledError:
             forward.ended = forward.ended or "aborted"
         finally:
             connection.tasks.pop(txn, None)
 
+    async def _write_data(self, connection: _Connection, data: bytes) -> None:
+        if self.mode is Mode.GARBLING and self.luck.random() < 0.3:
+            self._write(connection, b"\x00 no answer\r\n")
+        elif self.mode is Mode.STOPPING and self.luck.random() < 0.3:
+            self._write(connection, data[: len(data) // 2])
+            return
+        self._write(connection, data)
+        if self.mode is Mode.REPEATING:
+            await asyncio.sleep(self.luck.uniform(0.0, 0.02))
+            self._write(connection, data)
+        elif self.mode is Mode.LEAVING:
+            connection.writer.close()
+
     @staticmethod
     def _write(connection: _Connection, data: bytes) -> None:
         with contextlib.suppress(OSError, RuntimeError):
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -32,6 +32,7 @@
     slow_writers: float = 0.05
     objects: int = 400
     shortest_limit: float = 0.3  # part of the class's deadline that the shortest limit is
+    hurried: float = 0.02  # with very little time left
     weights: tuple[float, ...] = (0.45, 0.45, 0.1)
 
 
@@ -117,6 +118,8 @@
         number = int(self.shape.objects * self.luck.random() ** 2)
         txn = f"{self.luck.getrandbits(64):016x}"
         limit = cls.deadline * self.luck.uniform(self.shape.shortest_limit, 1.0)
+        if self.luck.random() < self.shape.hurried:
+            limit = self.luck.uniform(0.001, 0.08)
         return RequestRecord(txn, cls.name, item_of(number), self.luck.randrange(4), limit, self.router)
 
     async def _one(self, connection: ClientConnection) -> None:
