Decide in time that grows little with the number of servers

A router in a zone of 800 or 3,200 caches would have stalled: a request cost 70 ms and 1.5 s, all of it in decisions, so everything it had taken was late. Causes: once a second each server's part was set against the mean of all, computed anew for each (quadratic), every request looked at all servers, each change of the list dropped all ranks, and ranks of thousands of servers left room for ninety objects. Now the mean is computed once, servers are looked at when one is due, an object ranks its first 64, and only what changes ranks drops them. What a router knows of a server and of a request moved to modules of their own.

--- a/onyxpulley/control.py
+++ b/onyxpulley/control.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import math
+from heapq import nsmallest
 
 from onyxpulley import interface as api
-from onyxpulley.hashing import part_of, score
+from onyxpulley.hashing import part_of, scores
 from onyxpulley.interface import Effect, Note, Outcome, State
+from onyxpulley.jobs import Attempt, Job
 from onyxpulley.memo import Flow, Memo
-from onyxpulley.slow_start import WorkWindow
+from onyxpulley.server_state import HOME_SPAN, Server
 
 # ---- Tuned values: unit, reason, and what half or double would do.
 MS = 1000
@@ -48,55 +50,11 @@
 OWN_PART = 0.7  # part of the aim in which the router's own link must be done: 1.0 risks the aim in a rush
 OWN_MARGIN = 100 * MS  # an own copy is let go so much before its age is up: it is written a little later
 CONFIRM = 0.05  # cost of telling a client that its copy holds, as a part of the bytes
-HOME_SPAN = 30_000 * MS  # memory of how the fills share out: half is chance at ten in a second, double lags
 HOME_LINK, HOME_FEW = 0.5, 10.0  # part of a parent's link for what it is home to; fills first held for even
+RANKED = 64  # servers of an object that are ranked: so many are never all out of reach together
 EWMA = 0.1  # weight of one sample in the running means
 
 
-class Server:
-    """What this router knows of one edge cache, parent or origin."""
-
-    def __init__(self, entry: api.Entry, role: str) -> None:
-        self.id, self.zone, self.role, self.cell = entry.server, entry.zone, role, entry.cell
-        self.weight, self.state, self.started = entry.weight, State.GONE, 0
-        self.out: dict[tuple[str, int], Attempt] = {}
-        self.sent_cold = WorkWindow()
-        self.renew(0)
-
-    def renew(self, warm_from: int) -> None:
-        """A new process: nothing of the old one's health holds. warm_from 0: warm."""
-        self.warm_from, self.fails, self.failing, self.down_until, self.hold = warm_from, 0, 0.0, 0, 0
-        self.trial, self.lost, self.load = False, False, tuple[float, ...]()
-        self.others, self.reported = 0.0, 0  # what others have there by its last report, and when that came
-        self.waits, self.takes = 0.0, 1.0  # means of an answer's wait for its source and of its whole time
-        self.broke = -(2**62)  # when a connection to it last ended with something out
-        self.answered, self.slow, self.miss = 0, 1.0, 1.0 if warm_from else 0.3
-        self.part, self.part_at, self.slow_at, self.full = 1.0, 0, 0, 0.0
-        self.home = Flow(HOME_SPAN)  # a parent: this router's fills of the objects that it is home to
-
-
-class Attempt:
-    def __init__(self, router: Router, job: Job, server: Server, source: Server | None) -> None:
-        self.job, self.no, self.server, self.source, self.sent = job, job.made, server, source, router.now
-        self.expect, self.work, self.miss, self.looks, self.moved = 0.0, 0.0, 1.0, 0, False
-        self.first = False  # until it was sent nothing of its request may have run
-        self.held, self.known = False, False  # only what cache and source hold; size told or learned
-        self.booked = [s for s in (server, source) if s and router.warmth(s) < 1.0]  # counted as cold
-
-
-class Job:
-    """A request that is owed its final answer."""
-
-    def __init__(self, req: api.Request, cls: api.ClassSettings, now: int) -> None:
-        self.req, self.cls, self.arrived, self.due = req, cls, now, now + max(0, req.time_left)
-        self.made, self.value = 0, 1.0  # attempts; worth a byte against the mean of all requests
-        self.open: dict[int, Attempt] = {}
-        self.ran, self.ran_at = False, 0  # an attempt may have run, or is out; since when
-        self.ran_on: Server | None = None
-        self.bad: set[str] = set()  # servers and sources that failed this request
-        self.stayed, self.stale, self.held = False, False, False  # asked there again; old will do; held only
-
-
 class Router:
     def __init__(self, settings: api.Settings, seed: int = 0) -> None:
         self.set = settings
@@ -108,6 +66,10 @@
         self.inlet = Server(api.Entry("", "", ""), "inlet")  # what all fills of this location pass
         self.jobs: dict[str, Job] = {}
         self.ranks: Memo[tuple[str, str], tuple[Server, ...]] = Memo(settings.memo)
+        self.by_role: dict[str, list[Server]] = {}
+        self.gone: set[str] = set()  # servers that are gone and still matter
+        self.parts_due = 0  # before that no server's part is due for a change
+        self.usual_slowness: dict[str, float] = {}  # by role, while parts are adapted
         self.purged: dict[tuple[str, object], int] = {}
         self.timers: dict[int, Attempt | Server | None] = {}
         self.learned: Memo[tuple[str, int], float] = Memo(settings.memo)
@@ -121,23 +83,31 @@
     def configure(self, settings: api.Settings) -> None:
         """Other figures from now on; open jobs keep their class's, servers their roles."""
         self.set, self.classes = settings, {c.name: c for c in settings.classes}
-        self.ranks.reset(settings.memo, len(self.servers))
+        self.ranks.reset(settings.memo, min(RANKED, len(self.servers)))
         for table in (self.learned, self.heat):
             table.most = settings.memo
 
     # ---- Ranking, membership and warm-up
     def ranked(self, role: str, obj: str) -> tuple[Server, ...]:
-        """Best first. Memoised until the list changes; only nominal weights enter, never live ones."""
+        """The first RANKED of a role, best first. Memoised until the list changes; only nominal weights
+        enter, never live ones."""
         key = (role, obj)
         found = self.ranks.get(key)
         if found is None:
-            own = [s for s in self.servers.values() if s.role == role and s.state != State.GONE]
+            own = self.members(role)
             weighted = self.set.nominal_weights
-            by = {s.id: score(obj, s.id, s.weight if weighted else 1.0) for s in own}
-            found = tuple(sorted(own, key=lambda s: (-by[s.id], s.id)))
-            self.ranks[key] = found
+            by = scores(obj, ((s.id, s.weight if weighted else 1.0) for s in own))
+            order = nsmallest(RANKED, zip(by, own, strict=True), key=lambda row: (-row[0], row[1].id))
+            self.ranks[key] = found = tuple(server for _, server in order)
         return found
 
+    def members(self, role: str) -> list[Server]:
+        """All servers of a role that are not gone, until the list changes."""
+        if role not in self.by_role:
+            own = [s for s in self.servers.values() if s.role == role and s.state != State.GONE]
+            self.by_role[role] = own
+        return self.by_role[role]
+
     def role_of(self, entry: api.Entry) -> str:
         if entry.kind == self.set.parent_kind:
             return "parent"
@@ -148,31 +118,48 @@
     def on_listing(self, event: api.Listing) -> None:
         if event.kind is api.ListKind.FAILED:
             return self.later(None, HOLD)  # asks again when the timer comes
-        named = {e.server for e in event.entries}
-        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
+        changed = event.kind in (api.ListKind.FULL, api.ListKind.CACHED)
+        if changed:
+            named = {e.server for e in event.entries}
             for server in self.servers.values():
                 if server.id not in named:
                     server.state = State.GONE
+                    self.gone.add(server.id)
         for entry in event.entries:
-            if entry.server not in self.servers:
-                self.servers[entry.server] = Server(entry, self.role_of(entry))
-            server = self.servers[entry.server]
-            server.weight = entry.weight if entry.weight > 0 else 1.0
-            fresh = entry.started > 0 and entry.started != server.started
-            if fresh or (server.state == State.GONE and entry.state == State.READY):
-                young = entry.started > 0 and self.now - entry.cold_since < self.cold_time(server)
-                server.renew(entry.cold_since if young else 0)
-                if young and self.now < self.began + self.set.cold_window:
-                    server.sent_cold.book(self.began, self.allowance(server))  # as the process before it did
-            server.started, server.state = entry.started, entry.state
-        self.servers = {i: s for i, s in self.servers.items() if s.state != State.GONE or self.counts(s)}
-        origins = (s for s in self.servers.values() if s.role == "origin" and s.state == State.READY)
-        self.origin = next(origins, None)
-        self.ranks.reset(self.set.memo, len(self.servers))
+            changed = self.take_entry(entry) or changed
+        for gone in [i for i in self.gone if not self.counts(self.servers[i])]:
+            del self.servers[gone]
+            self.gone.discard(gone)
+        if changed:
+            self.parts_due = 0
+            self.by_role.clear()
+            self.ranks.reset(self.set.memo, min(RANKED, len(self.servers)))
+        self.origin = next((s for s in self.members("origin") if s.state == State.READY), None)
         if self.set.subscribe and not self.asked_list:
             self.asked_list = True
             self.actions.append(api.Subscribe())
 
+    def take_entry(self, entry: api.Entry) -> bool:
+        """One line of the list. Does it change what the ranks rest on? No drain, nothing elsewhere."""
+        if entry.server not in self.servers:
+            self.servers[entry.server] = Server(entry, self.role_of(entry))
+        server = self.servers[entry.server]
+        before = server.state == State.GONE, server.weight
+        server.weight = entry.weight if entry.weight > 0 else 1.0
+        fresh = entry.started > 0 and entry.started != server.started
+        if fresh or (server.state == State.GONE and entry.state == State.READY):
+            young = entry.started > 0 and self.now - entry.cold_since < self.cold_time(server)
+            server.renew(entry.cold_since if young else 0)
+            self.parts_due = 0
+            if young and self.now < self.began + self.set.cold_window:
+                server.sent_cold.book(self.began, self.allowance(server))  # as the process before it did
+        server.started, server.state = entry.started, entry.state
+        if entry.state == State.GONE:
+            self.gone.add(entry.server)
+        else:
+            self.gone.discard(entry.server)
+        return server.role != "sibling" and before != (server.state == State.GONE, server.weight)
+
     def cold_time(self, server: Server) -> int:
         return self.set.parent_cold_time if server.role == "parent" else self.set.cold_time
 
@@ -235,13 +222,26 @@
         value = 1.0 if server.role == "cache" else job.value
         return part_of(job.req.object, server.id) < part * value and self.within_budget(server, work)
 
+    def adapt_parts(self) -> None:
+        self.usual_slowness.clear()
+        known = [*self.members("cache"), *self.members("parent"), *([self.origin] if self.origin else [])]
+        for server in known:
+            self.adapt_part(server)
+        self.parts_due = min((s.part_at for s in known), default=self.now) + PART_PACE
+
+    def mean_slowness(self, role: str) -> float:
+        """Of the usable servers of a role."""
+        if role not in self.usual_slowness:
+            peers = [self.slowness(s) for s in self.members(role) if self.usable(s)]
+            self.usual_slowness[role] = sum(peers) / max(1, len(peers))
+        return self.usual_slowness[role]
+
     def adapt_part(self, server: Server) -> None:
         """Slower than its like: others can do better. Sources that refuse: their fills must become fewer."""
         if self.now - server.part_at < PART_PACE:
             return
         server.part_at = self.now
-        peers = [self.slowness(s) for s in self.servers.values() if s.role == server.role and self.usable(s)]
-        excess = self.slowness(server) / max(1.0, sum(peers) / max(1, len(peers)))
+        excess = self.slowness(server) / max(1.0, self.mean_slowness(server.role))
         full = server.full * self.remembered(server) if server.role != "cache" else 0.0
         if excess > HOT or full > FULL:
             server.part = max(PART_LEAST, server.part * max(0.7, min(HOT / excess, 1.0 - full)))
@@ -400,7 +400,7 @@
         if job.cls.uncached and self.set.direct and self.origin and self.origin.id not in job.bad:
             return self.origin if self.may_follow(job, self.origin) else None
         ranked = self.ranked("cache", req.object)
-        spread = self.spread(req.object, len(ranked)) if req.object else 1
+        spread = self.spread(req.object, len(self.members("cache"))) if req.object else 1
         if spread > 1:  # the hot object's first few, the least busy of them first
             first = sorted(ranked[:spread], key=lambda s: (len(s.out) + 1) * s.slow)
             ranked = (*first, *ranked[spread:])
@@ -447,7 +447,8 @@
         its link or, while fills are late, than its link's share keeps that only. Guards against a hot object,
         whose fills jam one link: a router learns of that too late. Hurts by second copies at parents."""
         name, told = f"{job.req.object}/{job.req.part}", self.set.nominal_weights
-        rest, late = [p for p in self.ranked("parent", name) if p in up[1:]], self.slowness(self.inlet) > COOL
+        others, late = set(up[1:]), self.slowness(self.inlet) > COOL
+        rest = [p for p in self.ranked("parent", name) if p in others]
         if not rest or not (late or told) or not up[0].home.since:
             return up[:1] + rest
         home, few = up[0].home, HOME_FEW * self.mean_cost / HOME_SPAN
@@ -476,9 +477,8 @@
         if self.sized(req):
             self.means[req.cls] = self.mean_of(req) + EWMA * (work - self.mean_of(req)) / 4
         self.asked.add(self.now, work)
-        known = (*self.ranked("cache", req.object), *self.ranked("parent", req.object), self.origin)
-        for server in filter(None, known):
-            self.adapt_part(server)
+        if self.now >= self.parts_due:
+            self.adapt_parts()
         self.mean_cost += EWMA * (work / cls.worth - self.mean_cost) / 4 if cls.worth else 0.0
         job.value = cls.worth * self.mean_cost / max(1.0, work)
         self.attempt(job)
--- a/onyxpulley/hashing.py
+++ b/onyxpulley/hashing.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from hashlib import blake2b
 
+KEY = b"latchgrade"  # the project's old name: another one would move every object
+
 
 def draw(key: bytes, first: str, second: str) -> float:
     """A keyed hash of two names in (0, 1), the same in every process."""
@@ -13,9 +16,20 @@
 
 
 def score(obj: str, server: str, weight: float = 1.0) -> float:
-    """Winning hash of the design; a nominal weight is its load factor (CARP). The key keeps the project's old
-    name: another one would move every object, and routers of two builds would disagree."""
-    return -weight / math.log(draw(b"latchgrade", obj, server))
+    """Winning hash of the design; a nominal weight is its load factor (CARP)."""
+    return -weight / math.log(draw(KEY, obj, server))
+
+
+def scores(obj: str, servers: Iterable[tuple[str, float]]) -> list[float]:
+    """The same for many servers, given by id and weight: the object's part of the hash is computed once."""
+    prefix = blake2b(f"{obj}\0".encode(), digest_size=8, key=KEY)
+    found = []
+    for server, weight in servers:
+        state = prefix.copy()
+        state.update(server.encode())
+        draw_of = (int.from_bytes(state.digest(), "big") + 0.5) / 2**64
+        found.append(-weight / math.log(draw_of))
+    return found
 
 
 def part_of(obj: str, server: str) -> float:
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -291,6 +291,7 @@
             return
         self.closed = True
         self.pool.lanes.remove(self)
+        self.pool.servers.lanes.pop(self, None)
         metrics.count(f"server_closed.{why.value}")
         if self.out:
             ids = ",".join(self.out)
@@ -326,6 +327,7 @@
         self.lanes: list[Lane] = []
         self.most, self.most_at = LANES, 0
         self.lacked_at = -LACKING_FOR  # when a connection last failed for want of something on this machine
+        self.retired = False  # its server is gone, or has another address
         self.wants_signature = uid in self.limits.signature_boxes
 
     def read_load(self, text: str) -> tuple[float, ...]:
@@ -351,6 +353,7 @@
             if len(self.lanes) < self.most and not lacking and self.servers.room():
                 best = Lane(self)
                 self.lanes.append(best)
+                self.servers.lanes[best] = None
         if best is None:
             best = min(fit, key=Lane.load, default=None)
         if best is None:  # whatever is out on a silent one would end with it, so it is not closed
@@ -403,6 +406,7 @@
         self.saw_copy: Callable[[int], None] = lambda stamp: None  # told the stamps of copies
         self.pools: dict[str, Pool] = {}
         self.retired: list[Pool] = []
+        self.lanes: dict[Lane, None] = {}  # all connections, of whatever pool, the oldest first
         self.forwards = 0  # attempts written whole
         self.usual = 0.0  # us that an answer took, lately
 
@@ -410,6 +414,7 @@
         """A change of the list. An address may pass to another server, so connections go by id."""
         pool = self.pools.get(uid)
         if pool is not None and (state == "Gone" or pool.endpoint != endpoint):
+            pool.retired = True
             self.retired.append(self.pools.pop(uid))
             pool = None
         if pool is None and state != "Gone":
@@ -425,12 +430,11 @@
 
     def room(self) -> bool:
         """One more descriptor for a connection to a server? An idle one makes way where there is none."""
-        pools = (*self.pools.values(), *self.retired)
         if self.ending:
             return False
-        if sum(len(pool.lanes) for pool in pools) < self.limits.lanes:
+        if len(self.lanes) < self.limits.lanes:
             return True
-        idle = [lane for pool in pools for lane in pool.lanes if lane.up and not lane.load()]
+        idle = [lane for lane in self.lanes if lane.up and not lane.load()]
         if idle:
             min(idle, key=lambda lane: lane.used).close(Outcome.BROKEN)
         return bool(idle)
@@ -457,15 +461,14 @@
     def sweep(self) -> None:
         """Closes what is idle for the settings' time, and what its server left behind."""
         now = now_us()
-        for pool in (*self.pools.values(), *self.retired):
-            for lane in list(pool.lanes):
-                lane.check()
-                if lane.wire is not None and lane.wire.over():
+        for lane in list(self.lanes):
+            lane.check()
+            if lane.wire is not None and lane.wire.over():
+                lane.close(Outcome.BROKEN)
+            if not lane.closed and not lane.load() and lane.up:
+                gone = lane.pool.retired or not lane.takes()
+                if gone or now - lane.used > self.limits.idle * 0.9e6:
                     lane.close(Outcome.BROKEN)
-                if not lane.closed and not lane.load() and lane.up:
-                    gone = pool in self.retired or not lane.takes()
-                    if gone or now - lane.used > self.limits.idle * 0.9e6:
-                        lane.close(Outcome.BROKEN)
         self.retired = [pool for pool in self.retired if pool.lanes]
 
     def close(self) -> None:
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -49,6 +49,8 @@
         self.routers: dict[str, RouterProcess] = {}
         self.traffic: dict[str, RouterTraffic] = {}
         self.shims: dict[str, Shim] = {}
+        self.endpoints: dict[str, str] = {}
+        self.settings = settings(self.setup.routers, self.setup.classes)
         self.crashes: list[Violation] = []
         self.lag_task: asyncio.Task[None] | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -77,7 +79,7 @@
                 console_port=free_port(),
                 discovery=address,
                 known=list(self.discovery.events),
-                settings=settings(self.setup.routers, self.setup.classes),
+                settings=self.settings,
                 seed=self.luck.getrandbits(64),
                 sockets=self.setup.sockets,
             )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,7 @@
 from onyxpulley.hashing import part_of
 from onyxpulley.interface import Note, Outcome
 
-from .helpers import BASE, SEC, START, World, entries, fetch
+from .helpers import BASE, SEC, START, World, entries, fetch, with_settings
 
 ROUTERS = 40
 SIZE_KB = 200.0  # each request's sending time is 0.2 s
@@ -172,3 +172,20 @@
         named[routers] = set(filled(world, "hot", range(100, 140), 150_000))
     assert len(named[4]) == 1, "the ordinary path: one parent for an object"
     assert len(named[200]) == 8
+
+
+# Guards against requests that each cost a look at all servers: with thousands of them the router would stall.
+def test_what_moves_no_rank_leaves_the_ranks_of_thousands_of_servers() -> None:
+    many = entries(3_000, 4)
+    elsewhere = api.Entry("s0", "edge-2", "box")
+    world = World(with_settings(memo=40_000), (*many, elsewhere))
+    for number in range(20):
+        world.serve(f"x{number}")
+    ranks = dict(world.router.ranks)
+    assert ranks and all(len(row) <= 64 for row in ranks.values())
+    world.change(api.Entry("c7", "edge-1", "box", state=api.State.DRAINING))
+    world.change(api.Entry("s0", "edge-2", "box", state=api.State.GONE))
+    world.change(api.Entry("s1", "edge-2", "box"))
+    assert dict(world.router.ranks) == ranks
+    world.change(api.Entry("c3001", "edge-1", "box"))
+    assert not world.router.ranks, "a new one takes its objects at once"
