--- a/onyxpulley/bulletin.py
+++ b/onyxpulley/bulletin.py
@@ -182,7 +182,7 @@
             self.watch.ended(monotonic(), key)
             self.changed.set()
 
-    def heed(self) -> None:
+    def read_pending(self) -> None:
         """Before a write: news that lies unread behind other work counts as told. Guards against a drain that
         waits while requests are worked off."""
         if monotonic() - self.looked >= LOOK:
--- a/onyxpulley/config.py
+++ b/onyxpulley/config.py
@@ -38,7 +38,7 @@
     buffers: int  # bytes of messages of clients that are not whole
     memory: int  # bytes that queued answers may hold together
     clients: int  # connections of clients, all fronts together
-    lanes: int  # connections to servers, all together
+    server_connections: int  # connections to servers, all together
     line: int  # bytes of one line of the bulletin: a whole list is one
     drain: float  # seconds from SIGTERM to the last answer
     signature_boxes: frozenset[str] = frozenset()
@@ -132,7 +132,7 @@
         buffers=int(0.2 * free),
         memory=int(memory * 0.15),
         clients=max(1, sockets // 2),
-        lanes=max(8, sockets - sockets // 2 - SPARE),
+        server_connections=max(8, sockets - sockets // 2 - SPARE),
         line=max(LISTS * ROW, int(free / 16)),
         drain=min(3.0, longest) + 0.4,
     )
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -185,7 +185,7 @@
         self.closing = False  # nothing new is begun: the router is leaving
         self.ending = False  # the same without an exception: the process ends
         self.serial = self.bodies = 0
-        self.heed: Callable[[], None] = lambda: None  # takes in what was told and not read yet
+        self.read_pending: Callable[[], None] = lambda: None  # takes in what was told and not read yet
         self.seen: Seen | None = None
         self._queue: list[Order] = []
         self._busy = False
@@ -195,7 +195,7 @@
     # ---- Called by the fronts
     def take(self, request: Request, first: bool = False) -> None:
         """`first` on its connection: it may have been long in coming, so also one that leaves takes it."""
-        self.heed()
+        self.read_pending()
         self.serial += 1
         request.key, request.taken = f"q{self.serial}", now_us()
         self.bodies += len(request.body)  # both bound the memory of all open requests together
@@ -237,7 +237,7 @@
     def clear(self, attempt: Attempt) -> bool:
         """Right before its first byte. Guards against a drain, a purge, a cold start or an expiry since it
         was queued, also against one that was told but waits unread behind the work of this moment."""
-        self.heed()
+        self.read_pending()
         if attempt.ended or attempt.request.ended:
             return False
         if not self._permitted(attempt.request):
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -71,7 +71,7 @@
         self.bulletin = Bulletin(
             conf.bulletin, conf.seed, conf.limits.line, self.facade, self.exchange, self.servers
         )
-        self.exchange.heed = self.bulletin.heed
+        self.exchange.read_pending = self.bulletin.read_pending
         self.clients = Clients(self.exchange, self.facade.classes, conf.limits)
         self.term = asyncio.Event()
         self.fronts: list[Front] = []
--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -31,7 +31,7 @@
 NOTES = {word: no for no, word in enumerate(TELLS.split(" "), 1)}
 LONGEST = 240_000  # bytes of an object
 LINE = 2_048
-LANES = 16  # connections to one server, where the descriptors allow
+MOST_CONNECTIONS = 16  # connections to one server, where the descriptors allow
 SHARED = 3  # requests on a connection before another one is opened: all of them end with it
 SHORT = 3  # sweeps in which an answer that has begun does not go on: it never will
 LATER = 64  # requests given up on a connection that it remembers: their answers may still come
@@ -41,10 +41,10 @@
 LACKING_FOR = 50_000  # us for which no further connection is begun beside those that are up
 
 
-class Lane:
+class ServerConnection:
     """One connection to a server. Holds what is out on it and what waits to be written."""
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: ConnectionPool) -> None:
         self.pool = pool
         self.sock: socket.socket | None = None
         self.lacking = False  # no connection could be made yet for want of something on this machine
@@ -266,7 +266,7 @@
             self._answer(words, body)
 
     def _answer(self, words: list[str], body: bytes) -> None:
-        """Raises ValueError on a spoilt line before its attempt is taken off: both end with the lane."""
+        """Raises ValueError on a spoilt line before its attempt is taken off: both end together."""
         self.used = now_us()
         if words[0] not in self.out:
             return  # given up meanwhile, a second copy, or an id that is none of ours
@@ -290,8 +290,8 @@
         if self.closed:
             return
         self.closed = True
-        self.pool.lanes.remove(self)
-        self.pool.servers.lanes.pop(self, None)
+        self.pool.connections.remove(self)
+        self.pool.servers.connections.pop(self, None)
         metrics.count(f"server_closed.{why.value}")
         if self.out:
             ids = ",".join(self.out)
@@ -316,7 +316,7 @@
                 self.pool.again(what, why)
 
 
-class Pool:
+class ConnectionPool:
     """All connections to one server, known by its id."""
 
     def __init__(self, servers: Servers, uid: str, endpoint: str) -> None:
@@ -324,8 +324,8 @@
         self.exchange, self.limits = servers.exchange, servers.limits
         host, _, port = endpoint.rpartition(":")
         self.address = (host, int(port))
-        self.lanes: list[Lane] = []
-        self.most, self.most_at = LANES, 0
+        self.connections: list[ServerConnection] = []
+        self.most, self.most_at = MOST_CONNECTIONS, 0
         self.lacked_at = -LACKING_FOR  # when a connection last failed for want of something on this machine
         self.retired = False  # its server is gone, or has another address
         self.wants_signature = uid in self.limits.signature_boxes
@@ -340,36 +340,42 @@
         now, limits = now_us(), self.limits
         idle, silence = int(limits.idle * 0.8e6), self.servers.silence()
         fit = [
-            lane
-            for lane in self.lanes
-            if lane.fit(now, silence, idle) and lane.load() < limits.streams and not lane.holds(attempt)
+            connection
+            for connection in self.connections
+            if connection.fit(now, silence, idle)
+            and connection.load() < limits.streams
+            and not connection.holds(attempt)
         ]
-        free = [lane for lane in fit if not lane.alone()]
-        best = min(free, key=Lane.load, default=None)
+        free = [connection for connection in fit if not connection.alone()]
+        best = min(free, key=ServerConnection.load, default=None)
         if best is None or best.load() >= (1 if attempt.once else SHARED):
             if now - self.most_at > MOST_FOR:
-                self.most = LANES  # it took no more connections then; it may now
+                self.most = MOST_CONNECTIONS  # it took no more connections then; it may now
             lacking = bool(fit) and now - self.lacked_at < LACKING_FOR
-            if len(self.lanes) < self.most and not lacking and self.servers.room():
-                best = Lane(self)
-                self.lanes.append(best)
-                self.servers.lanes[best] = None
+            if len(self.connections) < self.most and not lacking and self.servers.room():
+                best = ServerConnection(self)
+                self.connections.append(best)
+                self.servers.connections[best] = None
         if best is None:
-            best = min(fit, key=Lane.load, default=None)
+            best = min(fit, key=ServerConnection.load, default=None)
         if best is None:  # whatever is out on a silent one would end with it, so it is not closed
             loop = asyncio.get_running_loop()
             loop.call_soon(self.exchange.finish, attempt, Report(Outcome.FULL))
             return
         best.push(attempt)
 
-    def others(self) -> list[Lane]:
+    def others(self) -> list[ServerConnection]:
         """Connections that are up and may take what could not go elsewhere."""
-        return [lane for lane in self.lanes if lane.up and lane.fit(now_us(), 10**5, 10**6)]
+        return [
+            connection
+            for connection in self.connections
+            if connection.up and connection.fit(now_us(), 10**5, 10**6)
+        ]
 
-    def lacks_a_socket(self, lane: Lane) -> bool:
+    def lacks_a_socket(self, connection: ServerConnection) -> bool:
         """Notes that this machine could not make a connection. Can others take what waits on this one?"""
         self.lacked_at = now_us()
-        return any(other is not lane for other in self.others())
+        return any(other is not connection for other in self.others())
 
     def again(self, attempt: Attempt, why: Outcome) -> None:
         """Its connection never came up, or ended before it was written: nothing ran."""
@@ -379,20 +385,20 @@
         others = self.others()
         if why is Outcome.NOT_CONNECTED:
             if others:
-                min(others, key=Lane.load).push(attempt)
+                min(others, key=ServerConnection.load).push(attempt)
             else:
                 self.exchange.finish(attempt, Report(why))
             return
         if why is Outcome.UNREACHABLE and others:
-            self.most, self.most_at = max(1, len(self.lanes)), now_us()  # it accepts no more
+            self.most, self.most_at = max(1, len(self.connections)), now_us()  # it accepts no more
         if attempt.waits < TRIES and (why is Outcome.BROKEN or others):
             self.servers.send(attempt)
             return
         self.exchange.finish(attempt, Report(Outcome.UNREACHABLE))
 
     def close(self) -> None:
-        for lane in list(self.lanes):
-            lane.close(Outcome.BROKEN)
+        for connection in list(self.connections):
+            connection.close(Outcome.BROKEN)
 
 
 class Servers:
@@ -404,9 +410,11 @@
         self.ending = False
         self.trust: Trust = Listed()
         self.saw_copy: Callable[[int], None] = lambda stamp: None  # told the stamps of copies
-        self.pools: dict[str, Pool] = {}
-        self.retired: list[Pool] = []
-        self.lanes: dict[Lane, None] = {}  # all connections, of whatever pool, the oldest first
+        self.pools: dict[str, ConnectionPool] = {}
+        self.retired: list[ConnectionPool] = []
+        self.connections: dict[
+            ServerConnection, None
+        ] = {}  # all connections, of whatever pool, the oldest first
         self.forwards = 0  # attempts written whole
         self.usual = 0.0  # us that an answer took, lately
 
@@ -418,7 +426,7 @@
             self.retired.append(self.pools.pop(uid))
             pool = None
         if pool is None and state != "Gone":
-            self.pools[uid] = Pool(self, uid, endpoint)
+            self.pools[uid] = ConnectionPool(self, uid, endpoint)
 
     def answered(self, took: int) -> None:
         self.usual += USUAL * (took - self.usual) if self.usual else took
@@ -432,11 +440,11 @@
         """One more descriptor for a connection to a server? An idle one makes way where there is none."""
         if self.ending:
             return False
-        if len(self.lanes) < self.limits.lanes:
+        if len(self.connections) < self.limits.server_connections:
             return True
-        idle = [lane for lane in self.lanes if lane.up and not lane.load()]
+        idle = [connection for connection in self.connections if connection.up and not connection.load()]
         if idle:
-            min(idle, key=lambda lane: lane.used).close(Outcome.BROKEN)
+            min(idle, key=lambda connection: connection.used).close(Outcome.BROKEN)
         return bool(idle)
 
     def send(self, attempt: Attempt) -> None:
@@ -450,26 +458,26 @@
     def abort(self, attempt: Attempt) -> None:
         txn = attempt.request.txn
         for pool in (self.pools.get(attempt.server), *self.retired):
-            for lane in pool.lanes if pool else ():
-                if lane.out.get(txn) is attempt:
-                    lane.give_up(attempt)
+            for connection in pool.connections if pool else ():
+                if connection.out.get(txn) is attempt:
+                    connection.give_up(attempt)
                     return
-                if attempt in lane.waiting:
-                    lane.waiting.remove(attempt)
+                if attempt in connection.waiting:
+                    connection.waiting.remove(attempt)
                     return
 
     def sweep(self) -> None:
         """Closes what is idle for the settings' time, and what its server left behind."""
         now = now_us()
-        for lane in list(self.lanes):
-            lane.check()
-            if lane.wire is not None and lane.wire.over():
-                lane.close(Outcome.BROKEN)
-            if not lane.closed and not lane.load() and lane.up:
-                gone = lane.pool.retired or not lane.takes()
-                if gone or now - lane.used > self.limits.idle * 0.9e6:
-                    lane.close(Outcome.BROKEN)
-        self.retired = [pool for pool in self.retired if pool.lanes]
+        for connection in list(self.connections):
+            connection.check()
+            if connection.wire is not None and connection.wire.over():
+                connection.close(Outcome.BROKEN)
+            if not connection.closed and not connection.load() and connection.up:
+                gone = connection.pool.retired or not connection.takes()
+                if gone or now - connection.used > self.limits.idle * 0.9e6:
+                    connection.close(Outcome.BROKEN)
+        self.retired = [pool for pool in self.retired if pool.connections]
 
     def close(self) -> None:
         self.ending = True
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -80,7 +80,9 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**GOOD, "limits": {"memory_mb": 32, "sockets": sockets}}))
     limits = config.load({"GW_CONFIG": str(path)}).limits
-    assert limits.clients + limits.lanes + config.SPARE <= sockets and limits.clients > sockets // 3
+    assert (
+        limits.clients + limits.server_connections + config.SPARE <= sockets and limits.clients > sockets // 3
+    )
 
 
 def test_very_many_bad_clients_fill_no_log(capfd: pytest.CaptureFixture[str]) -> None:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -210,7 +210,7 @@
         self.bulletin = Bulletin(
             ("127.0.0.1", port), 1, LIMITS.line, self.facade, self.exchange, self.servers
         )
-        self.exchange.heed = self.bulletin.heed
+        self.exchange.read_pending = self.bulletin.read_pending
         self.bulletin.known(1, [roster(1, {"c0": "Ready", "p0": "Ready", "o": "Ready"}, full=True)])
 
 
@@ -259,8 +259,8 @@
                 ask.txn = f"{no:016x}"
                 rig.exchange.take(ask)
             first, second = (r.attempts[0] for r in rig.exchange.open.values())
-            lane = rig.servers.pools["c0"].lanes[0]
-            assert list(lane.waiting) == [first, second]
+            connection = rig.servers.pools["c0"].connections[0]
+            assert list(connection.waiting) == [first, second]
 
             class Slow(PlainWire):
                 def send_now(self, data: bytes | memoryview) -> int:
@@ -268,9 +268,9 @@
                     rig.bulletin.apply(event(roster(2, {"c0": "Terminating"})))
                     return len(data)
 
-            await lane._batch(Slow(sock, "server"))
+            await connection._batch(Slow(sock, "server"))
             assert first.written and not second.ended
-            await lane._batch(Slow(sock, "server"))
+            await connection._batch(Slow(sock, "server"))
             assert not second.written and second.ended
             rig.servers.close()
             await asyncio.sleep(0)
