Give up a connection on which no call goes through for ten seconds

Since failed reads and writes are made again, a connection whose calls never go through again would have stayed for ever, and accepts that fail for good without a pause would have kept the core busy. Found by reading what the new loops do when the trouble does not pass.

--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -17,6 +17,7 @@
 
 SILENT = 4  # times that silence counts on a connection that never said anything: half fails slow requests
 FIRST = 1_000_000  # us that a connection without a request is left when the router leaves
+AT_ONCE = 512  # connections in a row that were given up before they were accepted: a whole queue
 EMPTY_WITHIN = 500_000  # us in which the queue of new connections is emptied at the end
 ATTACH = 51  # SO_ATTACH_REUSEPORT_CBPF, which the socket module does not name
 RETURN = 0x06  # BPF_RET | BPF_K: the whole program is "socket K of the group"
@@ -54,6 +55,7 @@
         self.sock: socket.socket | None = None
         self.accepting: asyncio.Task[None] | None = None
         self.failing_since = 0  # us, since when connections may have waited because accepting failed
+        self.failures = 0  # of accepts, since the queue was last empty
         self.pause = 0.0  # seconds before the next try
 
     def listen(self, address: tuple[str, int]) -> None:
@@ -91,7 +93,9 @@
         metrics.count_failed_call("accept", problem)
         logs.event("listener", "accept_failed", why=problem)
         self.failing_since = self.failing_since or now_us()
-        self.pause = next_pause(self.pause) if meaning_of(problem) is Meaning.LOCAL else 0.0
+        self.failures += 1
+        at_once = meaning_of(problem) is not Meaning.LOCAL and self.failures <= AT_ONCE
+        self.pause = 0.0 if at_once else next_pause(self.pause)
 
     def _empty_queue(self) -> bool:
         """Takes all connections that wait. False where an accept failed with others behind it."""
@@ -105,7 +109,7 @@
                 return False
             sock.setblocking(False)
             self._take(sock)
-        self.failing_since, self.pause = 0, 0.0
+        self.failing_since, self.failures, self.pause = 0, 0, 0.0
         return True
 
     def _take(self, sock: socket.socket) -> None:
--- a/onyxpulley/streams.py
+++ b/onyxpulley/streams.py
@@ -15,6 +15,7 @@
 
 Data = bytes | memoryview
 SENDS_A_TURN = 16
+GIVE_UP = 10_000_000  # us for which a call on one connection may fail: longer than any deadline counted
 OUT_OF_TOUCH = 50_000  # us: half of the time after a client's end in which an attempt may still begin
 
 
@@ -90,7 +91,7 @@
     def __init__(self, sock: socket.socket, peer: str, failing_since: int = 0) -> None:
         self.sock, self.peer = sock, peer
         self.failing_since = failing_since  # of reads; the next one that goes through ends it
-        self.late_since = 0
+        self.late_since = self.sends_failing_since = 0
         self.loop = asyncio.get_running_loop()
         self.without_delay = disable_write_delay(sock)
         self.pause = 0.0  # seconds before the next try to send, after an error
@@ -103,6 +104,8 @@
             except OSError as problem:
                 self._raise_if_ended("recv", problem)
                 self.failing_since = self.failing_since or now_us()
+                if now_us() - self.failing_since > GIVE_UP:
+                    raise
             else:
                 self.late_since, self.failing_since = self.failing_since, 0
                 return got
@@ -131,9 +134,12 @@
             return 0
         except OSError as problem:
             self._raise_if_ended("send", problem)
+            self.sends_failing_since = self.sends_failing_since or now_us()
+            if now_us() - self.sends_failing_since > GIVE_UP:
+                raise
             self.pause = next_pause(self.pause)
             return 0
-        self.pause = 0.0
+        self.pause, self.sends_failing_since = 0.0, 0
         return sent
 
     async def writable(self) -> None:
