--- a/review/1/case.py
+++ b/review/1/case.py
@@ -65,7 +65,7 @@
         await client.connect()
 
         async def ask() -> Ask:
-            request = await client.ask(Ask("video-part", ITEM, 3, 3000))
+            request = await client.ask(Ask("video-part", ITEM, 3, 3000), round(SIZE / 310_000 * 4200, 1))
             await asyncio.wait_for(request.done.wait(), 4.0)
             return request
 
