Review: choose ports of the stand-ins below those of outgoing connections

Cause: a port that the system gives to outgoing connections may be taken before a stand-in listens on it; one trial run of the stand-ins did not start. Change: ports from 15,000 on, each given once.

--- a/review/standins.py
+++ b/review/standins.py
@@ -26,7 +26,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes
 CASE_TIMEOUT_S = 110.0
-CLASSES = ("video-part", "page-file", "convert-job")
+given_ports: set[int] = set()
 
 
 def unix_ms() -> int:
@@ -49,9 +49,14 @@
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port below those that the system gives to outgoing connections, so that none of them takes it."""
+    while True:
+        port = 15_000 + secrets.randbelow(15_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            if port not in given_ports:
+                given_ports.add(port)
+                return port
 
 
 def settings(**changes: Any) -> dict[str, Any]:
@@ -233,19 +238,26 @@
         word, fields, body = answer
         if self.log:
             self.record.write(f"{self.uid} answered {fetch.txn} {word} {fields} {len(body)}")
-        with contextlib.suppress(OSError, RuntimeError):
-            lock = self.locks.setdefault(writer, asyncio.Lock())
-            data = f"{fetch.txn} {word} {fields or '-'} {len(body)}\r\n".encode() + body + b"\r\n"
-            async with lock:  # answers on one connection follow each other
-                self.writing.add(fetch.txn)
-                if not self.bytes_per_s:
-                    writer.write(data)
-                    await writer.drain()
-                    return
-                started = time.monotonic()
-                for start in range(0, len(data), 8_192):
-                    await asyncio.sleep(max(0.0, started + start / self.bytes_per_s - time.monotonic()))
-                    writer.write(data[start : start + 8_192])
+        lock = self.locks.setdefault(writer, asyncio.Lock())
+        data = f"{fetch.txn} {word} {fields or '-'} {len(body)}\r\n".encode() + body + b"\r\n"
+        async with lock:  # answers on one connection follow each other
+            self.writing.add(fetch.txn)
+            try:
+                await self._write(writer, data)
+            except (OSError, RuntimeError):
+                pass
+            finally:
+                self.writing.discard(fetch.txn)
+
+    async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        if not self.bytes_per_s:
+            writer.write(data)
+            return await writer.drain()
+        started = time.monotonic()
+        for start in range(0, len(data), 8_192):
+            await asyncio.sleep(max(0.0, started + start / self.bytes_per_s - time.monotonic()))
+            writer.write(data[start : start + 8_192])
+        return None
 
 
 class Router:
