Check a retry for a held copy like every other second attempt

Cause: when no source is left, Router.retry_or_finish calls send itself. choose_server and start_attempt, which check may_send_to, max_attempts, the time left and the slow start, take no part.

Change: may_ask_for_held_copy makes the same checks; has_attempt_left is one function for both ways.

--- a/onyxpulley/router.py
+++ b/onyxpulley/router.py
@@ -720,17 +720,33 @@
 
     def start_attempt(self, pending: PendingRequest) -> None:
         """Sends the request once more if that is allowed, else answers it unless an attempt is still open."""
-        server = None
-        # an object that cannot be sent before the deadline, however quick the server, is not started
-        min_send_time = max(self.settings.tick, self.estimated_work(pending.request))
-        time_left = pending.deadline - self.now
-        if pending.attempts_made < self.settings.max_attempts and time_left > min_send_time:
-            server = self.choose_server(pending)
+        server = self.choose_server(pending) if self.has_attempt_left(pending) else None
         if server is not None:
             self.send(pending, server)
         elif not pending.open_attempts:
             self.refuse_or_fail(pending)
 
+    def has_attempt_left(self, pending: PendingRequest) -> bool:
+        """Whether one more attempt is within the limit on attempts and could be answered in time.
+
+        An object that cannot be sent before the deadline, however quick the server, is not started.
+        """
+        min_send_time = max(self.settings.tick, self.estimated_work(pending.request))
+        has_time_left = pending.deadline - self.now > min_send_time
+        return has_time_left and pending.attempts_made < self.settings.max_attempts
+
+    def may_ask_for_held_copy(self, pending: PendingRequest, cache: Server) -> bool:
+        """Whether a cache may be asked once more, for a copy that it holds.
+
+        It is an attempt like any other: `choose_server`, which does not take part in it, checks the same.
+        """
+        return (
+            self.has_attempt_left(pending)
+            and self.is_usable(cache)
+            and self.may_send_to(pending, cache)
+            and self.within_slow_start_budget(cache, self.mean_work(pending.request))
+        )
+
     def send(self, pending: PendingRequest, server: Server) -> None:
         """Sends an attempt to a server, with the source that a miss is filled from, and sets its timer."""
         request = pending.request
@@ -975,7 +991,7 @@
             and (was_last_source or self.choose_source(pending, 1.0, server) is None)
         )
         stale_copy_ruled_out = pending.accepts_stale or not pending.cls.grace or server.role != "cache"
-        if pending.only_if_cached and (stale_copy_ruled_out or not self.is_usable(server)):
+        if pending.only_if_cached and (stale_copy_ruled_out or not self.may_ask_for_held_copy(pending, server)):
             self.refuse_or_fail(pending)
             return
         self.retry_budget -= 1.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -28,7 +30,23 @@
     with_settings(bypass_allowed=False, may_join=False, sends_retry_after=False, subscribe=True),
     with_settings(parent_kind=None, may_cancel=False, max_attempts=1, weights_are_nominal=True),
 ]
+# Classes that caches keep beyond their freshness lifetime and that must not simply run twice.
+CACHED_UNSAFE = api.ClassSettings(
+    "job-copy", 300_000, 3 * SEC, effect=api.Effect.UNSAFE, freshness_lifetime=8 * SEC, grace=30 * SEC
+)
+CACHED_KEYED = replace(KEYED, name="keyed-copy", uncached=False, freshness_lifetime=8 * SEC, grace=30 * SEC)
+REPEAT_SETTINGS = [
+    with_settings(classes=(CACHED_UNSAFE, CACHED_KEYED, KEYED), notes="hit"),
+    with_settings(classes=(CACHED_UNSAFE, CACHED_KEYED), bypass_allowed=False, max_attempts=2),
+]
 STEPS = st.tuples(st.integers(0, 7), st.integers(0, 40), st.integers(0, 10), st.integers(0, 1_500_000))
+# The same with fewer objects, and more often an attempt that ends without an answer after a failed fill.
+REPEAT_STEPS = st.tuples(
+    st.sampled_from([0, 2, 2, 2, 5, 6]),
+    st.integers(0, 3),
+    st.sampled_from([0, 1, 3, 5, 6, 6, 7]),
+    st.integers(0, 1_500_000),
+)
 OUTCOMES = list(Outcome)
 MAY_HAVE_RUN = (Outcome.SERVED, Outcome.ERROR, Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CANCELLED)
 
@@ -47,7 +65,9 @@
         self.answered: set[str] = set()
         self.in_flight: dict[tuple[str, int], api.Fetch | api.Forward] = {}
         self.attempts_made: dict[str, int] = {}  # by request
+        self.sent_at: dict[tuple[str, int], int] = {}  # by request and number of the attempt
         self.may_have_run_on: dict[str, set[str]] = {}  # servers by request
+        self.may_have_run_since: dict[str, int] = {}  # by request: when the first such attempt was sent
         self.purged_at = -1
         self.timer_tokens: list[int] = []
         self.handle(api.MembershipUpdate(api.UpdateKind.CACHED, rows))
@@ -78,7 +98,10 @@
                 if self.effect_of(action.id) is api.Effect.UNSAFE:
                     assert not self.may_have_run_on.get(action.id)
                     assert not [k for k in self.in_flight if k[0] == action.id]
+                if self.effect_of(action.id) is api.Effect.KEYED:
+                    self.check_keyed_repeat(action)
                 self.attempts_made[action.id] = number + 1
+                self.sent_at[action.id, number] = self.now
                 self.in_flight[(action.id, number)] = action
             case api.Refuse() | api.Fail():
                 assert action.id in self.unanswered, "one final answer"
@@ -94,6 +117,20 @@
             case api.Cancel():
                 assert self.settings.may_cancel
 
+    def check_keyed_repeat(self, action: api.Fetch | api.Forward) -> None:
+        """Checks that a keyed request is repeated only in the cell and window in which repeats are dropped."""
+        servers = self.may_have_run_on.get(action.id)
+        if not servers:
+            return
+        cells = {row.cell for row in self.rows if row.server in {*servers, action.server}}
+        assert len(cells) == 1
+        assert self.now - self.may_have_run_since[action.id] < KEYED.dedup_window
+
+    def note_possible_run(self, name: str, number: int, server: str) -> None:
+        """Records that an attempt may have run."""
+        self.may_have_run_on.setdefault(name, set()).add(server)
+        self.may_have_run_since.setdefault(name, self.sent_at[name, number])
+
     def step(self, kind: int, pick: int, variant: int, wait: int) -> None:
         """Plays one legal event of the kind, `wait` microseconds after the last one."""
         self.now += wait
@@ -116,7 +153,7 @@
             sent = self.in_flight.pop((name, number))
             outcome = OUTCOMES[variant % len(OUTCOMES)]
             if outcome in MAY_HAVE_RUN:
-                self.may_have_run_on.setdefault(name, set()).add(sent.server)
+                self.note_possible_run(name, number, sent.server)
             over = name in self.answered or outcome is Outcome.SERVED
             if over and name in self.unanswered:
                 del self.unanswered[name]
@@ -143,7 +180,7 @@
         for name, number in sorted(self.in_flight):
             sent = self.in_flight.pop((name, number), None)
             if sent is not None:
-                self.may_have_run_on.setdefault(name, set()).add(sent.server)
+                self.note_possible_run(name, number, sent.server)
                 self.handle(
                     api.Finished(name, number, sent.server, Outcome.TIMED_OUT, 2 * SEC, name in self.answered)
                 )
@@ -156,8 +193,6 @@
 
 
 def with_classes(base: api.Settings, classes: tuple[api.ClassSettings, ...]) -> api.Settings:
-    from dataclasses import replace
-
     return replace(base, classes=classes)
 
 
@@ -176,6 +211,22 @@
     checker.finish()
 
 
+# Guards against a repeat of what must not run twice, by any way to a second attempt.
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.integers(0, 1),
+    st.sampled_from([(4, 2, True), (4, 1, False), (1, 1, True)]),
+    st.lists(REPEAT_STEPS, min_size=2),
+)
+def test_cached_classes_that_must_not_run_twice_keep_the_rules(
+    settings_index: int, fleet: tuple[int, int, bool], steps: list[tuple[int, int, int, int]]
+) -> None:
+    checker = RuleChecker(REPEAT_SETTINGS[settings_index], entries(*fleet))
+    for step in steps:
+        checker.step(*step)
+    checker.finish()
+
+
 def test_a_retry_that_only_takes_a_held_copy_counts_as_an_attempt() -> None:
     checker = RuleChecker(SETTINGS[3], entries(4, 2, True))
     checker.step(0, 0, 0, 0)  # a request, of which one attempt is allowed
