Check the window of a keyed request again before its repeat is written

Cause: Router.recheck, asked right before the first byte, looks at drains and slow start and not at may_send_to; the window passes while the attempt waits for its connection.

Change: recheck asks may_send_to for each attempt before which the request may have run. The attempt then ends as never run, and the request fails.

Tests: test_a_keyed_request_that_waited_past_its_window_is_not_written_again failed before and passes now.

--- a/onyxpulley/router.py
+++ b/onyxpulley/router.py
@@ -1067,14 +1067,16 @@
         """Whether an attempt may still be written after it waited for a connection.
 
         Returns the current greatest age of a copy, 0 for no limit. None if the attempt is no longer open, if
-        its server or source drains or is gone (rule 3), or if one has started since and has no allowance left
-        (rule 4).
+        it would be a repeat that is not allowed any more (rule 2), if its server or source drains or is gone
+        (rule 3), or if one has started since and has no allowance left (rule 4).
         """
         self.now = now
         pending = self.pending_requests.get(request_id)
         attempt = pending.open_attempts.get(attempt_number) if pending is not None else None
         if pending is None or attempt is None:
             return None
+        if not attempt.first_possible_run and not self.may_send_to(pending, attempt.server):
+            return None
         server_work = self.mean_work(pending.request)
         for used_server, work in ((attempt.server, server_work), (attempt.source, attempt.work)):
             if used_server is None:
--- a/tests/test_second_attempts.py
+++ b/tests/test_second_attempts.py
@@ -79,3 +79,27 @@
 def test_a_safe_request_is_sent_again_for_a_held_copy() -> None:
     _, after = fail_late(harness_with_one_source(), "page")
     assert single_fetch(after).source == single_fetch(after).server and not final_answers(after)
+
+
+def recheck(harness: RouterHarness, name: str, attempt: int) -> int | None:
+    return harness.router.recheck(harness.now, name, attempt)
+
+
+# Guards against a repeat that was decided within the window and written after it, on a slow new connection.
+def test_a_keyed_request_that_waited_past_its_window_is_not_written_again() -> None:
+    harness = RouterHarness()
+    name, actions = harness.request(cls=KEYED.name)
+    again = harness.finish(name, sent_attempts(actions)[0], Outcome.BROKEN, after=KEYED.dedup_window // 2)
+    assert len(sent_attempts(again)) == 1 and recheck(harness, name, 1) is not None
+    harness.now += KEYED.dedup_window // 2
+    assert recheck(harness, name, 1) is None
+    after = harness.finish(name, sent_attempts(again)[0], Outcome.FULL, attempt=1, after=0)
+    assert final_answers(after) == [api.Fail(name)]
+
+
+# A first attempt has no window: however long it waited, nothing of its request can have run.
+def test_a_keyed_request_that_was_never_written_has_no_window() -> None:
+    harness = RouterHarness()
+    name, _ = harness.request(cls=KEYED.name)
+    harness.now += 2 * KEYED.dedup_window
+    assert recheck(harness, name, 0) is not None
