Count slow-start work from the write of an attempt, and again after a restart

Cause: Router.recheck passed over the slow start of every server that the attempt had been counted for, whenever that was and for whichever process of the server.

Change: the work is moved into the present window at the write; where it lies before the window, or belongs to the server's last process, the allowance is asked for again. Attempt no longer needs the router.

--- a/onyxpulley/pending_requests.py
+++ b/onyxpulley/pending_requests.py
@@ -2,26 +2,30 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
 
 from onyxpulley import interface as api
 from onyxpulley.server_state import Server
+from onyxpulley.slow_start import WorkEntry
 
-if TYPE_CHECKING:
-    from onyxpulley.router import Router
+
+@dataclass(frozen=True, slots=True)
+class SlowStartCharge:
+    """Work of an attempt that was counted against the allowance of a cold server."""
+
+    cold_since: int  # tells the processes of the server apart
+    entry: WorkEntry
 
 
 class Attempt:
     """One sending of a request to a server, with the source of a fill if that is another server."""
 
-    def __init__(
-        self, router: Router, pending: PendingRequest, server: Server, source: Server | None
-    ) -> None:
+    def __init__(self, now: int, pending: PendingRequest, server: Server, source: Server | None) -> None:
         self.pending = pending
         self.number = pending.attempts_made
         self.server = server
         self.source = source
-        self.sent_at = router.now
+        self.sent_at = now
         self.expected_latency = 0.0  # us, without a fill
         self.work = 0.0  # us of sending at full bandwidth
         self.size_known = False  # whether the work follows from a given or learned size, not from a mean
@@ -30,8 +34,7 @@
         self.reissued = False  # the request was sent again because this attempt was late
         self.first_possible_run = False  # nothing of the request can have run before this attempt was sent
         self.only_if_cached = False  # asks only for copies that server and source hold
-        # the cold ones among server and source, whose allowance this attempt was counted against
-        self.slow_start_recorded = [s for s in (server, source) if s and router.slow_start_factor(s) < 1.0]
+        self.slow_start_charges: dict[str, SlowStartCharge] = {}  # by the id of a cold server or source
 
 
 class PendingRequest:
--- a/onyxpulley/router.py
+++ b/onyxpulley/router.py
@@ -14,7 +14,7 @@
 from onyxpulley.bounded_state import BoundedDict, DecayingRate
 from onyxpulley.hashing import admission_hash, scores
 from onyxpulley.interface import Effect, Note, Outcome, ServerState
-from onyxpulley.pending_requests import Attempt, PendingRequest
+from onyxpulley.pending_requests import Attempt, PendingRequest, SlowStartCharge
 from onyxpulley.server_state import PRIMARY_FILL_TIME_CONSTANT, Server
 
 MS = 1000  # one millisecond, in microseconds
@@ -306,6 +306,31 @@
         if self.slow_start_factor(server) < 1.0:
             server.slow_start_work.add(self.now, work)
 
+    def charge_slow_start(self, attempt: Attempt, server: Server, work: float) -> None:
+        """Counts the work of an attempt against the allowance of a server, if it is cold."""
+        if self.slow_start_factor(server) < 1.0:
+            entry = server.slow_start_work.add(self.now, work)
+            attempt.slow_start_charges[server.id] = SlowStartCharge(server.slow_start_since, entry)
+
+    def renew_slow_start_charge(self, attempt: Attempt, server: Server, work: float) -> bool:
+        """Counts an attempt from now on, as it is written; false if a cold server may not be sent it now.
+
+        What was counted when the attempt was decided may lie before the present window, or belong to the
+        server's last process. `work` is counted where nothing was yet.
+        """
+        if self.slow_start_factor(server) >= 1.0:
+            return True
+        charge = attempt.slow_start_charges.get(server.id)
+        if charge is not None and charge.cold_since == server.slow_start_since:
+            entry = server.slow_start_work.move(charge.entry, self.now, self.settings.cold_window)
+            if entry is not None:
+                attempt.slow_start_charges[server.id] = SlowStartCharge(charge.cold_since, entry)
+                return True
+        if not self.within_slow_start_budget(server, work):
+            return False
+        self.charge_slow_start(attempt, server, work)
+        return True
+
     # ---- Admission shares and latency ratios
     def admits(self, server: Server, pending: PendingRequest, work: float) -> bool:
         """Whether the object is in the share that a cold or overloaded server is sent.
@@ -756,7 +781,7 @@
         if is_cache and not pending.only_if_cached:
             source = self.choose_source(pending, server.miss_rate, server)
         work = self.estimated_work(request)
-        attempt = Attempt(self, pending, server, source if source is not server else None)
+        attempt = Attempt(self.now, pending, server, source if source is not server else None)
         attempt.work = work
         learned = (request.object, request.part) in self.learned_work
         attempt.size_known = self.has_known_size(request) or learned
@@ -770,10 +795,10 @@
             pending.may_have_run_on = server
             pending.may_have_run_since = self.now
         server.in_flight[(request.id, attempt.number)] = attempt
-        self.record_slow_start_work(server, self.mean_work(request) if is_cache else work)
+        self.charge_slow_start(attempt, server, self.mean_work(request) if is_cache else work)
         attempt.miss_rate = server.miss_rate
         if attempt.source is not None:
-            self.record_slow_start_work(attempt.source, work * attempt.miss_rate)
+            self.charge_slow_start(attempt, attempt.source, work * attempt.miss_rate)
         for used_server in (server, attempt.source):
             if used_server is not None and used_server.ejected_until:
                 used_server.probe_in_flight = True
@@ -991,7 +1016,9 @@
             and (was_last_source or self.choose_source(pending, 1.0, server) is None)
         )
         stale_copy_ruled_out = pending.accepts_stale or not pending.cls.grace or server.role != "cache"
-        if pending.only_if_cached and (stale_copy_ruled_out or not self.may_ask_for_held_copy(pending, server)):
+        if pending.only_if_cached and (
+            stale_copy_ruled_out or not self.may_ask_for_held_copy(pending, server)
+        ):
             self.refuse_or_fail(pending)
             return
         self.retry_budget -= 1.0
@@ -1083,10 +1110,8 @@
                 continue
             if used_server.state != ServerState.READY:
                 return None
-            if self.slow_start_factor(used_server) < 1.0 and used_server not in attempt.slow_start_recorded:
-                if not self.within_slow_start_budget(used_server, work):
-                    return None
-                self.record_slow_start_work(used_server, work)
+            if not self.renew_slow_start_charge(attempt, used_server, work):
+                return None
         return self.max_age(pending)
 
     def force_answer(self, now: int, request_id: str) -> list[api.Action]:
--- a/tests/test_second_attempts.py
+++ b/tests/test_second_attempts.py
@@ -103,3 +103,69 @@
     name, _ = harness.request(cls=KEYED.name)
     harness.now += 2 * KEYED.dedup_window
     assert recheck(harness, name, 0) is not None
+
+
+def cold_cache_harness() -> RouterHarness:
+    """A router, in service for a while, whose only cache started just now."""
+    harness = RouterHarness(with_settings(weights_are_nominal=True), ONE_SOURCE)
+    harness.now += 60 * SEC
+    rows = [api.ServerEntry("c0", "edge-1", "box", weight=8.0, start_time=harness.now)]
+    rows += [api.ServerEntry(f"c{i}", "edge-1", "box", state=api.ServerState.GONE) for i in (1, 2, 3)]
+    harness.update_servers(*rows)
+    return harness
+
+
+def send_until_refused(harness: RouterHarness) -> list[str]:
+    """New requests until the cold cache's budget is spent; returns the ids of those that were sent to it."""
+    names = []
+    for number in range(1000):
+        name, actions = harness.request(f"x{number}")
+        if any(sent.server == "c0" for sent in sent_attempts(actions)):
+            names.append(name)
+    assert 0 < len(names) < 1000
+    return names
+
+
+def allowed_requests(harness: RouterHarness) -> float:
+    """How many requests of mean work the cold cache may be sent in a window that ends now."""
+    router = harness.router
+    work = router.mean_work(api.Request("mean", "media", "x", 0, size_kb=100.0))
+    return router.slow_start_allowance(router.servers["c0"]) / work
+
+
+# Guards against a second allowance for a cold cache, while what the first one was spent on still waits.
+def test_attempts_that_waited_count_towards_the_slow_start_from_their_write() -> None:
+    harness = cold_cache_harness()
+    waiting = send_until_refused(harness)
+    window = harness.router.settings.cold_window
+    harness.now += window - 1
+    assert all(recheck(harness, name, 0) is not None for name in waiting), "written now"
+    harness.now += 2
+    later = send_until_refused_or_none(harness)
+    assert len(waiting) + len(later) <= allowed_requests(harness)
+
+
+def send_until_refused_or_none(harness: RouterHarness) -> list[str]:
+    """As `send_until_refused`, where none may be sent."""
+    sent = [(name, sent_attempts(a)) for name, a in (harness.request(f"y{i}") for i in range(1000))]
+    return [name for name, attempts in sent if any(a.server == "c0" for a in attempts)]
+
+
+# The same where they waited longer than the window: they may be written only as far as it has room again.
+def test_attempts_that_waited_past_the_window_need_the_allowance_again() -> None:
+    harness = cold_cache_harness()
+    waiting = send_until_refused(harness)
+    harness.now += harness.router.settings.cold_window + 1
+    later = send_until_refused_or_none(harness)
+    assert later
+    written = [name for name in waiting if recheck(harness, name, 0) is not None]
+    assert len(written) + len(later) <= allowed_requests(harness)
+
+
+# Guards against writing to a cache that has restarted what was counted for its last process.
+def test_a_waiting_attempt_needs_the_allowance_of_a_cold_cache_that_restarted() -> None:
+    harness = cold_cache_harness()
+    (name, *_) = send_until_refused(harness)
+    harness.now += 1
+    harness.update_servers(api.ServerEntry("c0", "edge-1", "box", weight=8.0, start_time=harness.now))
+    assert recheck(harness, name, 0) is None, "the window is full"
