--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -118,7 +118,7 @@
                 assert self.settings.may_cancel
 
     def check_keyed_repeat(self, action: api.Fetch | api.Forward) -> None:
-        """Checks that a keyed request is repeated only in the cell and window in which repeats are dropped."""
+        """Checks that a keyed request is repeated only where and while repeats are dropped."""
         servers = self.may_have_run_on.get(action.id)
         if not servers:
             return
--- a/tests/test_second_attempts.py
+++ b/tests/test_second_attempts.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from onyxpulley import interface as api
-from onyxpulley.interface import Note, Outcome
+from onyxpulley.interface import Outcome
 
 from .helpers import (
     KEYED,
@@ -41,7 +41,7 @@
     return name, harness.finish(name, sent, Outcome.ERROR, after=after)
 
 
-# Guards against running an unsafe request twice: once no source was left, it was sent to the same cache again.
+# Guards against running an unsafe request twice: without a source left, it was sent there again.
 def test_an_unsafe_request_is_not_sent_again_for_a_held_copy() -> None:
     name, after = fail_late(harness_with_one_source(), "job")
     assert not sent_attempts(after) and final_answers(after) == [api.Fail(name)]
