Leave own copies aside while a purge that was not heard may bind

Cause: own copies are dropped by purges that arrive, and nothing asked until when the events are known; the time of the last received byte served a log line only. Evidence: answers after 1 ms without a fetch; tests on events and on discovery's client.

Change: a number up to which no event is missing confirms the events, as of the time since which it may have waited unread. Seven seconds after the last confirmation, and before the first, an own copy is served only if it is younger than that. Requests to servers get that limit where servers drop copies later. The log says when events are not confirmed.

--- a/onyxpulley/decision_adapter.py
+++ b/onyxpulley/decision_adapter.py
@@ -47,6 +47,8 @@
     "Gone": api.ServerState.GONE,
 }
 MAX_RETRY_AFTER_MS = 500  # for clients that are refused without a decision
+# By then all that discovery has to tell counts as known on the platform, whether it arrived or not.
+MAX_NOTICE_DELAY_US = 7_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,11 +79,7 @@
         max_tracked_objects: int = 40_000,
         clock: Callable[[], int] = now_us,
     ) -> None:
-        self._use_settings(
-            replace(
-                read_settings(params), link_transfers=link_transfers, max_tracked_objects=max_tracked_objects
-            )
-        )
+        self._use_settings(self._read_settings(params, link_transfers, max_tracked_objects))
         self.clock = clock
         self.platform_clock = PlatformClock(clock)
         self.router = Router(self.settings, seed)
@@ -91,9 +89,7 @@
 
     def configure(self, params: Json, link_transfers: float, max_tracked_objects: int) -> None:
         """Applies new settings. Raises BadConfig on a change of the zone or of the kinds of servers."""
-        new = replace(
-            read_settings(params), link_transfers=link_transfers, max_tracked_objects=max_tracked_objects
-        )
+        new = self._read_settings(params, link_transfers, max_tracked_objects)
         old = self.settings
         if (new.zone, new.parent_kind, new.origin_kind) != (old.zone, old.parent_kind, old.origin_kind):
             raise BadConfig("a change of the zone or of the kinds of servers needs a restart")
@@ -101,6 +97,15 @@
             self._use_settings(new)
             self.router.configure(new)
 
+    @staticmethod
+    def _read_settings(params: Json, link_transfers: float, max_tracked_objects: int) -> api.Settings:
+        return replace(
+            read_settings(params),
+            link_transfers=link_transfers,
+            max_tracked_objects=max_tracked_objects,
+            max_notice_delay=MAX_NOTICE_DELAY_US,
+        )
+
     def _use_settings(self, settings: api.Settings) -> None:
         self.settings = settings
         self.cacheable_classes = frozenset(c.name for c in settings.classes if not c.uncached)
@@ -241,6 +246,10 @@
         age = 0 if is_live else self.platform_clock.min_age_us(issued_ms)
         return self._handle(api.Purged(group, age, object_id))
 
+    def events_confirmed(self, age_us: int) -> Sequence[Command]:
+        """Takes the proof that every event that discovery had `age_us` ago was received."""
+        return self._handle(api.EventsConfirmed(age_us))
+
     # ---- Translation of events and actions
     def _handle(self, event: api.Event) -> list[Command]:
         return self._to_commands(self.router.handle(self.clock(), event))
--- a/onyxpulley/discovery.py
+++ b/onyxpulley/discovery.py
@@ -14,7 +14,7 @@
 from onyxpulley.buffers import Buffer
 from onyxpulley.clock import monotonic
 from onyxpulley.core import Exchange
-from onyxpulley.decision_adapter import DecisionAdapter, Member
+from onyxpulley.decision_adapter import MAX_NOTICE_DELAY_US, DecisionAdapter, Member
 from onyxpulley.discovery_events import (
     CONNECT_TIMEOUT_S,
     SILENCE_TIMEOUT_S,
@@ -44,6 +44,8 @@
         self.buffer = Buffer(16_384, client.max_line_bytes)
         self.connected = False
         self.received_bytes = 0
+        # Monotonic seconds. What was read since, or is still to be read, discovery sent later than this.
+        self.nothing_unread_at = 0.0
         self.task: asyncio.Task[None]
 
     async def connect(self, key: int, address: tuple[str, int]) -> None:
@@ -53,6 +55,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.sock_connect(self.sock, address)
+                self.nothing_unread_at = monotonic()
                 await loop.sock_sendall(self.sock, b"after %d\n" % self.client.last_number)
             self.connected = True
             self.client.schedule.connected(monotonic(), key)
@@ -70,6 +73,7 @@
         lines: list[bytes] = []
         try:
             while True:
+                read_at = monotonic()
                 received = self.sock.recv_into(self.buffer.free_space())
                 if not received:
                     return lines or None
@@ -78,6 +82,8 @@
                 while (line := self.buffer.read_line(self.client.max_line_bytes)) is not None:
                     lines.append(line)
         except BlockingIOError:
+            if self.buffer.start == self.buffer.end:  # else a line is incomplete, which began before
+                self.nothing_unread_at = read_at
             return lines
         except OSError as error:
             metrics.count_failed_call("recv.discovery", error)
@@ -118,7 +124,8 @@
         self.connections: dict[int, DiscoveryConnection] = {}
         self.changed = asyncio.Event()  # the schedule is to be asked again
         self.caught_up = asyncio.Event()  # the first lines of a connection have been applied
-        self.last_read = self.last_received = monotonic()
+        self.last_read = self.last_received = self.confirmed_at = monotonic()
+        self.unconfirmed_logged = False
         # Observers of the events, called before they are applied.
         self.on_members: Callable[[bool, Sequence[Member]], None] = lambda full, members: None
         self.on_purge: Callable[[str | None, int | None, int], None] = lambda item, group, issued_ms: None
@@ -179,6 +186,7 @@
             while True:
                 self.changed.clear()
                 self.read_all()  # a connection with unread bytes is not silent
+                self._log_if_unconfirmed()
                 step = self.schedule.step(monotonic())
                 for key in step.close:
                     self.close_connection(key)
@@ -227,6 +235,7 @@
         if connection is None:
             return
         self.last_read, bytes_before = monotonic(), connection.received_bytes
+        sent_after = connection.nothing_unread_at
         try:
             lines = connection.read_lines()
             if connection.received_bytes > bytes_before:
@@ -235,6 +244,7 @@
                 self.close_connection(key)
                 return
             self._apply_lines(lines)
+            self._pass_on_confirmation(sent_after)
             if lines:
                 self.caught_up.set()
         except DiscoveryStreamError as error:
@@ -244,6 +254,23 @@
             self.log(f"after {self.last_number}: {error}")
             self.close_connection(key)
 
+    def _pass_on_confirmation(self, sent_after: float) -> None:
+        """Tells the decisions if a line has shown that no event was missing when it was sent. It may have
+        waited in the network or in the kernel since `sent_after`, but not longer."""
+        if not self.events.confirmed:
+            return
+        self.events.confirmed = False
+        self.confirmed_at = max(self.confirmed_at, sent_after)
+        self.unconfirmed_logged = False
+        self.exchange.execute(self.decisions.events_confirmed(int((monotonic() - sent_after) * 1e6)))
+
+    def _log_if_unconfirmed(self) -> None:
+        """Logs once that discovery may have told something that counts though it has not arrived."""
+        silent_s = monotonic() - self.confirmed_at
+        if silent_s >= MAX_NOTICE_DELAY_US / 1e6 and not self.unconfirmed_logged:
+            self.unconfirmed_logged = True
+            self.log(f"not confirmed for {silent_s:.1f} s: older copies of its own are not served")
+
     def _apply_lines(self, lines: Sequence[bytes]) -> None:
         """Applies consecutive changes of the list as one: after an outage, or in a release of hundreds of
         servers, each would cost a pass over all servers. Raises DiscoveryStreamError after applying the lines
--- a/onyxpulley/discovery_events.py
+++ b/onyxpulley/discovery_events.py
@@ -111,6 +111,7 @@
         self.missing_after = -1  # the number after which events were missing at the last check
         self.skipped = 0  # malformed lines skipped in all
         self.bad_lines = 0  # malformed lines skipped since the last event
+        self.confirmed = False  # a line showed that no event was missing; reset by whoever acts on it
 
     def read(self, line: bytes) -> Event | None:
         """The next event, or None for a line with nothing new. Raises DiscoveryStreamError."""
@@ -146,6 +147,7 @@
         again."""
         if number <= self.last_number:
             self.missing_after = -1
+            self.confirmed = True
         elif self.missing_after != self.last_number:
             self.missing_after = self.last_number
         elif self.requested_after != self.last_number:
--- a/onyxpulley/interface.py
+++ b/onyxpulley/interface.py
@@ -135,6 +135,9 @@
     parent_cold_multiple: float = 2.0
     purge_grace: int = 0
     purge_duration: int = 10_000_000  # within this time servers drop purged copies
+    max_notice_delay: int = (
+        0  # by then an event of discovery counts as known, received or not; 0: if received
+    )
     load_report_fields: tuple[str, ...] = ()  # names of the values in a load report, in order
     max_tracked_objects: int = 40_000  # entries per table: rankings, request rates, learned sizes
     link_transfers: float = 0.0  # full-speed transfers that this router's link carries; 0: keeps no copies
@@ -246,7 +249,24 @@
     object: str | None = None
 
 
-Event = MembershipUpdate | Request | StreamStarted | Finished | ClientGone | TimerDue | Probed | Purged
+@dataclass(frozen=True, slots=True)
+class EventsConfirmed:
+    """Discovery has shown that every event that it had `age` ago was received."""
+
+    age: int
+
+
+Event = (
+    MembershipUpdate
+    | Request
+    | StreamStarted
+    | Finished
+    | ClientGone
+    | TimerDue
+    | Probed
+    | Purged
+    | EventsConfirmed
+)
 
 
 # Actions
--- a/onyxpulley/router.py
+++ b/onyxpulley/router.py
@@ -138,6 +138,7 @@
         self.mean_latency_ratios: dict[str, float] = {}  # by role, memoised during an update of the shares
 
         self.purge_times: dict[tuple[str, object], int] = {}  # by ("object", name) or ("group", number)
+        self.events_confirmed_at: int | None = None  # all events of discovery up to then are known
         # by object and part
         self.learned_work: BoundedDict[tuple[str, int], float] = BoundedDict(settings.max_tracked_objects)
         self.mean_work_by_class: dict[str, float] = {}
@@ -514,11 +515,28 @@
         """Whether no copy from before a purge can be left anywhere."""
         return self.now - purged_at > self.settings.purge_duration + self.settings.purge_grace
 
-    def max_age(self, pending: PendingRequest) -> int:
+    def on_events_confirmed(self, event: api.EventsConfirmed) -> None:
+        """Records until when all events are known."""
+        confirmed_at = self.now - event.age
+        self.events_confirmed_at = max(confirmed_at, self.events_confirmed_at or confirmed_at)
+
+    def unknown_purge_limit(self) -> int:
+        """The age from which a copy may be older than a purge that counts as known without being received.
+
+        0 while there can be no such purge: the last confirmation is recent enough.
+        """
+        delay = self.settings.max_notice_delay
+        confirmed_at = self.events_confirmed_at
+        is_recent = confirmed_at is not None and self.now - confirmed_at < delay
+        return 0 if is_recent else delay
+
+    def max_age(self, pending: PendingRequest, own_copy: bool = False) -> int:
         """The greatest age of a copy that may answer the request (rule 5), 0 for no limit.
 
-        Until a purge is complete, no copy may be older than the purge. A limit is at least 1, since caches
-        read 0 as no limit.
+        Until a purge is complete, no copy may be older than the purge. That holds for purges that were not
+        received as well: servers drop their copies by themselves, in most deployments before such a purge
+        counts as known, but the router's own copies (`own_copy`) are dropped by received purges only. A limit
+        is at least 1, since caches read 0 as no limit.
         """
         cls = pending.cls
         request = pending.request
@@ -532,6 +550,9 @@
             if purged_at is not None and not self.is_purge_complete(purged_at):
                 limit = max(1, self.now - purged_at - 1)
                 age = min(age or cls.freshness_lifetime or limit, limit)
+        if own_copy or self.settings.purge_duration > self.settings.max_notice_delay:
+            limit = self.unknown_purge_limit()
+            age = min(age or cls.freshness_lifetime or limit, limit) if limit else age
         return age
 
     # ---- Admission by expected time
@@ -731,7 +752,7 @@
         cls = pending.cls
         if request.own_copy_age is None or self.settings.link_transfers <= 0 or cls.uncached:
             return False
-        max_age = self.max_age(pending) or cls.freshness_lifetime
+        max_age = self.max_age(pending, own_copy=True) or cls.freshness_lifetime
         if max_age and request.own_copy_age > max_age - OWN_COPY_AGE_MARGIN:
             return False
         work = self.estimated_work(request) * (CONFIRMATION_COST if request.client_has_copy else 1.0)
@@ -1143,6 +1164,8 @@
                 self.on_membership_update(event)
             case api.Purged():
                 self.on_purged(event)
+            case api.EventsConfirmed():
+                self.on_events_confirmed(event)
             case api.Probed():
                 self.on_probed(event)
             case api.StreamStarted():
--- /dev/null
+++ b/tests/test_unconfirmed_events.py
@@ -0,0 +1,209 @@
+"""What the router may still trust while discovery is refused, or connected and silent."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from onyxpulley import interface as api
+from onyxpulley.clock import now_us, unix_us
+from onyxpulley.copy_store import Copy, CopyStore
+from onyxpulley.core import Answer, Exchange, Request, Verdict
+from onyxpulley.decision_adapter import MAX_NOTICE_DELAY_US, DecisionAdapter
+from onyxpulley.discovery import DiscoveryClient
+from onyxpulley.servers import Servers
+
+from .helpers import SEC, RouterHarness, single_fetch, with_settings
+from .player import SETTINGS
+from .test_discovery import LIMITS, roster
+
+DELAY = 7 * SEC  # the platform's figure for what counts as told, whether it arrived or not
+MARGIN = 1 * SEC  # for the age of a confirmation: two of the numbers that are sent each second
+
+
+def harness_with_copies(**changes: object) -> RouterHarness:
+    return RouterHarness(with_settings(link_transfers=2.0, max_notice_delay=DELAY, **changes))
+
+
+def serves_own_copy(harness: RouterHarness, age: int, cls: str = "media") -> bool:
+    request = api.Request(f"own{harness.now}", cls, "x", 2 * SEC, group=1, size_kb=50.0, own_copy_age=age)
+    return any(isinstance(action, api.ServeOwnCopy) for action in harness.handle(request, 1))
+
+
+# Guards against serving an own copy that was purged while discovery could not be heard.
+def test_own_copies_are_left_aside_once_an_unheard_purge_may_count() -> None:
+    harness = harness_with_copies()
+    harness.handle(api.EventsConfirmed(0))
+    assert serves_own_copy(harness, 60 * SEC)
+    harness.now += DELAY - SEC
+    assert serves_own_copy(harness, 60 * SEC)
+    harness.now += SEC
+    assert not serves_own_copy(harness, 60 * SEC)
+    assert not serves_own_copy(harness, DELAY)
+    assert serves_own_copy(harness, DELAY - SEC), "a purge after it cannot count yet"
+    harness.handle(api.EventsConfirmed(DELAY + 1))
+    assert not serves_own_copy(harness, 60 * SEC), "an old confirmation"
+    harness.handle(api.EventsConfirmed(0))
+    assert serves_own_copy(harness, 60 * SEC)
+
+
+# A router that has not heard discovery since its start knows only what its configuration holds.
+def test_before_the_first_confirmation_own_copies_are_left_aside() -> None:
+    assert not serves_own_copy(harness_with_copies(), DELAY)
+
+
+# Servers drop purged copies by themselves; where they may take longer than 7 s, the request limits the age.
+@pytest.mark.parametrize(("purge_duration", "limit"), [(6 * SEC, 0), (10 * SEC, DELAY)])
+def test_copies_of_servers_are_limited_where_servers_drop_them_late(purge_duration: int, limit: int) -> None:
+    harness = harness_with_copies(purge_duration=purge_duration)
+    harness.handle(api.EventsConfirmed(0))
+    assert single_fetch(harness.request("x")[1]).max_age == 0
+    harness.now += DELAY
+    assert single_fetch(harness.request("x")[1]).max_age == limit
+
+
+class ScriptedDiscovery:
+    """The parts of the program, with their own copies, and a discovery service that a test speaks for.
+
+    `skip` moves the clock of the decisions forward.
+    """
+
+    def __init__(self, listener: socket.socket) -> None:
+        self.skipped_us = 0
+        self.listener = listener
+        self.decisions = DecisionAdapter(SETTINGS, 1, 4.0, clock=lambda: now_us() + self.skipped_us)
+        self.servers = Servers(LIMITS)
+        self.exchange = Exchange(self.decisions, self.servers, LIMITS, CopyStore(10**6))
+        self.servers.exchange = self.exchange
+        self.discovery = DiscoveryClient(
+            listener.getsockname(),
+            1,
+            LIMITS.discovery_line_bytes,
+            self.decisions,
+            self.exchange,
+            self.servers,
+        )
+        self.discovery.load_initial(1, [roster(1, {"c0": "Ready", "p0": "Ready", "o": "Ready"}, full=True)])
+        self.exchange.copies.put(
+            ("video-part", "7f3a9c21e0b4d655", 0), Copy(b"x", "aa", unix_us() // 1000, 1)
+        )
+        self.peer: socket.socket
+
+    async def connect(self) -> None:
+        """Accepts the next connection and reads what it asks for."""
+        loop = asyncio.get_running_loop()
+        self.peer, _ = await loop.run_in_executor(None, self.listener.accept)
+        await loop.run_in_executor(None, self.peer.recv, 100)
+
+    async def send(self, data: bytes) -> None:
+        """Sends bytes on the present connection and lets the client read them."""
+        self.peer.sendall(data)
+        await asyncio.sleep(0.05)
+        self.discovery.read_all()
+
+    def skip(self, seconds: float) -> None:
+        """Lets time pass for the decisions."""
+        self.skipped_us += int(seconds * SEC)
+
+    def serves_own_copy(self) -> bool:
+        """Whether a request is answered at once, from the own copy."""
+        answers: list[Answer] = []
+        name = f"{now_us():016x}"
+        request = Request(name, "video-part", "7f3a9c21e0b4d655", 2**60, answers.append, size_kb=4.0, group=1)
+        self.exchange.submit(request)
+        self.exchange.client_left(request)
+        return [answer.verdict for answer in answers] == [Verdict.SERVED]
+
+
+def play(script: Callable[[ScriptedDiscovery], Awaitable[None]]) -> None:
+    """Runs a script on a discovery service that listens on loopback."""
+
+    async def main() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            scene = ScriptedDiscovery(listener)
+            follow = asyncio.create_task(scene.discovery.run())
+            await scene.connect()
+            await script(scene)
+            follow.cancel()
+            scene.peer.close()
+            scene.servers.close()
+            await asyncio.sleep(0)
+
+    asyncio.run(main())
+
+
+# The same through discovery's client: a number that names no later event confirms, silence does not.
+def test_discovery_that_is_connected_and_silent_confirms_nothing() -> None:
+    async def script(scene: ScriptedDiscovery) -> None:
+        await scene.send(b"1\n")
+        scene.skip(5.0)
+        assert scene.serves_own_copy()
+        scene.skip(2.1)
+        assert not scene.serves_own_copy()
+        await scene.send(b'{"no":1}\n')
+        assert scene.serves_own_copy(), "heard again"
+
+    play(script)
+
+
+# Guards against taking any bytes for a confirmation: discovery that is behind goes on sending old events.
+def test_events_and_numbers_that_are_ahead_confirm_nothing() -> None:
+    async def script(scene: ScriptedDiscovery) -> None:
+        await scene.send(b"1\n")
+        scene.skip(7.1)
+        await scene.send(json.dumps({"no": 2, "recall": {"item": "ff", "issued": 5}}).encode() + b"\n")
+        assert scene.discovery.last_number == 2 and not scene.serves_own_copy()
+        await scene.send(b"4\n")
+        assert not scene.serves_own_copy(), "events 3 and 4 are missing"
+        events = [{"no": number, "recall": {"item": "ff", "issued": 5}} for number in (3, 4)]
+        await scene.send(b"".join(json.dumps(event).encode() + b"\n" for event in events) + b"4\n")
+        assert scene.serves_own_copy()
+
+    play(script)
+
+
+# Guards against taking a line for new that waited in the network, or came in pieces, while events were sent.
+def test_a_line_confirms_only_what_was_sent_before_its_first_byte_could_arrive() -> None:
+    ages: list[int] = []
+
+    async def script(scene: ScriptedDiscovery) -> None:
+        await scene.send(b"1\n")
+        confirm = scene.decisions.events_confirmed
+
+        def record(age_us: int) -> object:
+            ages.append(age_us)
+            return confirm(age_us)
+
+        scene.decisions.events_confirmed = record  # type: ignore[assignment, method-assign]
+        await scene.send(b'{"no"')
+        await asyncio.sleep(0.3)
+        await scene.send(b":1}\n")
+        await scene.send(b"1\n")
+
+    play(script)
+    assert len(ages) == 2
+    assert ages[0] >= 0.35 * SEC, "it may be as old as its first piece"
+    assert ages[1] < MARGIN
+
+
+# Guards against a router that goes on as confirmed where connections to discovery are refused.
+def test_refused_connections_confirm_nothing_and_the_log_tells() -> None:
+    lines: list[str] = []
+
+    async def script(scene: ScriptedDiscovery) -> None:
+        scene.discovery.log = lines.append
+        await scene.send(b"1\n")
+        scene.listener.close()
+        scene.peer.close()
+        scene.skip(7.1)
+        assert not scene.serves_own_copy()
+        scene.discovery.confirmed_at -= MAX_NOTICE_DELAY_US / 1e6
+        await asyncio.sleep(0.6)
+        assert not scene.serves_own_copy()
+
+    play(script)
+    assert [line for line in lines if "not confirmed for 7." in line]
