Close clients' connections so that written answers arrive

Cause: ClientConnection.close closed the socket once the kernel had taken the last answer. What the client sends after that, or had sent unread, makes the kernel reset the connection and drop what the client's kernel had no room for.

Change: LingeringSockets shuts a client's connection down for writing and reads on until the client closes it, within time limits; on all fronts and at the second address. The end of a drain waits for what is not acknowledged. Such sockets count towards the limit on connections and make room first.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -13,6 +13,7 @@
 from onyxpulley.buffers import Buffer
 from onyxpulley.clock import now_us
 from onyxpulley.core import Answer, Exchange, Request, Verdict
+from onyxpulley.lingering import LingeringSockets
 from onyxpulley.listeners import (
     FIRST_REQUEST_GRACE_US,
     SILENT_CONNECTION_WEIGHT,
@@ -61,6 +62,12 @@
     SHUTDOWN = "shutdown"
 
 
+# The client receives nothing any more, or has not for too long.
+ABORTING_REASONS = frozenset(
+    {CloseReason.CLIENT_LEFT, CloseReason.READ_FAILED, CloseReason.WRITE_FAILED, CloseReason.UNREAD}
+)
+
+
 class MalformedMessage(Exception):
     """The input breaks the protocol, so that nothing after it can be parsed."""
 
@@ -183,11 +190,12 @@
     def __init__(self, front: PlatformFront, sock: socket.socket, failing_since: int) -> None:
         """`failing_since`: since when the connection may have waited because accepting failed, or 0."""
         self.front = front
-        self.stream = SocketStream(sock, "client", failing_since)
+        self.stream = SocketStream(sock, "client", failing_since, front.lingering)
         self.buffer = Buffer(4_096, MAX_BODY_BYTES + 8 * MAX_ELEMENT_BYTES)
         self.open_requests: dict[bytes, Request] = {}  # by tag
         self.send_queue: deque[bytes] = deque()
         self.unsent_bytes = 0  # in `send_queue` and in the send under way
+        self.sent_anything = False
         self.bytes_to_discard = 0  # the rest of a body that was too large
         self.closed = False
         self.last_activity = now_us()
@@ -344,6 +352,7 @@
         """Queues data for the writer; may close the connection with the most unsent data to free memory."""
         if self.closed:
             return
+        self.sent_anything = True
         self.send_queue.append(data)
         self.unsent_bytes += len(data)
         self.front.unsent_bytes += len(data)
@@ -433,7 +442,10 @@
                 task.cancel()
         self.tasks.clear()  # a reference cycle: the connection would stay until a garbage collection
         self.buffer = Buffer(0, 0)
-        self.stream.close()
+        if reason in ABORTING_REASONS or not self.sent_anything:
+            self.stream.abort()
+        else:
+            self.stream.close()
         abandoned = list(self.open_requests.values())
         self.open_requests.clear()
         for request in abandoned:
@@ -443,8 +455,14 @@
 class PlatformFront(Listener):
     """The listener of the platform's front and all its connections."""
 
-    def __init__(self, exchange: Exchange, classes: frozenset[str], limits: Limits) -> None:
-        super().__init__()
+    def __init__(
+        self,
+        exchange: Exchange,
+        classes: frozenset[str],
+        limits: Limits,
+        lingering: LingeringSockets | None = None,
+    ) -> None:
+        super().__init__(lingering)
         self.exchange = exchange
         self.classes = classes  # names of the request classes that are accepted
         self.limits = limits
@@ -466,9 +484,15 @@
 
     def admit(self) -> bool:
         """Whether one more connection may be accepted; at the limit it closes another one to make room."""
-        if len(self.connections) + self.other_connections() >= self.max_connections:
-            return evict_one((*self.connections, *self.evictable_elsewhere()), now_us())
-        return True
+        if self._has_room() or self.lingering.close_one():
+            return True
+        if not evict_one((*self.connections, *self.evictable_elsewhere()), now_us()):
+            return False
+        return self._has_room() or self.lingering.close_one()
+
+    def _has_room(self) -> bool:
+        open_connections = len(self.connections) + self.other_connections() + len(self.lingering)
+        return open_connections < self.max_connections
 
     def _start_log_window_if_due(self) -> None:
         if now_us() - self.log_window_start > 1_000_000:
@@ -542,11 +566,13 @@
             client.answer_open_requests()
 
     def is_quiet(self) -> bool:
-        """Whether all answers are written and no request is on its way in.
+        """Whether all answers are written and delivered, and no request is on its way in.
 
         Requests that take their time to arrive count: closing on them would fail them.
         """
-        return not self.unsent_bytes and not any(c.open_requests or c.waiting_since for c in self.connections)
+        if self.unsent_bytes or not self.lingering.all_delivered():
+            return False
+        return not any(c.open_requests or c.waiting_since for c in self.connections)
 
     def close(self) -> None:
         """Closes the listener and all connections."""
--- a/onyxpulley/console.py
+++ b/onyxpulley/console.py
@@ -10,6 +10,7 @@
 from onyxpulley import metrics
 from onyxpulley.buffers import Buffer
 from onyxpulley.clock import now_us
+from onyxpulley.lingering import LingeringSockets
 from onyxpulley.listeners import Listener
 from onyxpulley.streams import SocketStream
 
@@ -31,7 +32,7 @@
 
     def __init__(self, console: Console, sock: socket.socket) -> None:
         self.console = console
-        self.stream = SocketStream(sock, "console")
+        self.stream = SocketStream(sock, "console", 0, console.lingering)
         self.connected_at = now_us()
         self.buffer = Buffer(MAX_LINE_BYTES, MAX_LINE_BYTES)
         self.line_received = False
@@ -79,8 +80,9 @@
         read_metrics: Callable[[], Iterable[Metric]],
         pause: Callable[[], str],
         resume: Callable[[], str],
+        lingering: LingeringSockets | None = None,
     ) -> None:
-        super().__init__()
+        super().__init__(lingering)
         self.is_ready = is_ready
         self.read_metrics = read_metrics
         self.commands = {"PAUSE": pause, "RESUME": resume}
--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -12,6 +12,7 @@
 
 from onyxpulley import logs, metrics
 from onyxpulley.clock import now_us
+from onyxpulley.lingering import LingeringSockets
 from onyxpulley.streams import close_quietly
 from onyxpulley.system_calls import ErrorKind, classify_error, next_retry_delay
 
@@ -70,7 +71,9 @@
 class Listener:
     """A listening socket and its accept loop. Subclasses implement `admit` and `add_connection`."""
 
-    def __init__(self) -> None:
+    def __init__(self, lingering: LingeringSockets | None = None) -> None:
+        """`lingering`: where connections go that are being closed; all listeners of a program share it."""
+        self.lingering = LingeringSockets() if lingering is None else lingering
         self.sock: socket.socket | None = None
         self.accept_task: asyncio.Task[None] | None = None
         self.failing_since = 0  # monotonic us since when connections may wait as accepting fails, or 0
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -24,6 +24,7 @@
 from onyxpulley.decision_adapter import DecisionAdapter
 from onyxpulley.discovery import DiscoveryClient
 from onyxpulley.discovery_events import CONNECT_TIMEOUT_S, PARSE_ERRORS
+from onyxpulley.lingering import LingeringSockets
 from onyxpulley.listeners import FIRST_REQUEST_GRACE_US, Listener, evict_one
 from onyxpulley.servers import Servers
 from onyxpulley.streams import SocketStream
@@ -93,10 +94,13 @@
             self.servers,
         )
         self.exchange.read_pending = self.discovery.read_pending
-        self.platform_front = PlatformFront(self.exchange, self.decisions.class_names, limits)
+        self.lingering = LingeringSockets()
+        self.platform_front = PlatformFront(self.exchange, self.decisions.class_names, limits, self.lingering)
         self.stop_requested = asyncio.Event()
         self.http_fronts: list[HttpFront] = []
-        self.console = Console(lambda: self.platform_front.ready, self.read_metrics, self.pause, self.resume)
+        self.console = Console(
+            lambda: self.platform_front.ready, self.read_metrics, self.pause, self.resume, self.lingering
+        )
         self.drain_started = 0.0  # monotonic seconds
         self.pause_requested = False  # may be set during the start
         self.reload_counts = {"applied": 0, "rejected": 0}
@@ -411,6 +415,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             steps = [self._tick_identities, self.servers.sweep, self.platform_front.sweep, self.console.sweep]
             steps += [
+                self.lingering.poll,
                 self._advance_drain,
                 *((front.sweep for front in self.http_fronts) if no % 5 == 0 else ()),
             ]
@@ -447,6 +452,7 @@
             if monotonic() > last_answers:
                 self.exchange.finish_all()
             self._advance_drain()
+            self.lingering.poll()
             await asyncio.sleep(DRAIN_POLL_S)
 
 
@@ -467,7 +473,7 @@
     ) -> None:
         """Listens at once. `connect` makes the connection on an accepted stream, or None if it refuses the
         peer. Raises OSError."""
-        super().__init__()
+        super().__init__(platform_front.lingering)
         self.listen(address)
         self.connect = connect
         self.platform_front = platform_front
@@ -483,7 +489,9 @@
 
     def add_connection(self, sock: socket.socket) -> None:
         """Starts to serve an accepted connection."""
-        task = asyncio.create_task(self._serve(SocketStream(sock, "client", self.failing_since)))
+        task = asyncio.create_task(
+            self._serve(SocketStream(sock, "client", self.failing_since, self.lingering))
+        )
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/onyxpulley/streams.py
+++ b/onyxpulley/streams.py
@@ -7,12 +7,15 @@
 import contextlib
 import select
 import socket
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from onyxpulley import metrics
 from onyxpulley.clock import now_us
 from onyxpulley.system_calls import ErrorKind, classify_error, next_retry_delay
 
+if TYPE_CHECKING:
+    from onyxpulley.lingering import LingeringSockets
+
 Data = bytes | memoryview
 MAX_SENDS_PER_TURN = 16  # before other tasks run, where each call takes few bytes
 MAX_FAILING_US = 10_000_000  # a connection is given up when its calls fail for longer; exceeds any deadline
@@ -84,17 +87,23 @@
         ...
 
     def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection. On a client's connection the client still receives what was sent."""
         ...
 
 
 class SocketStream:
     """A plain connection on a non-blocking socket. Points in time are monotonic microseconds, 0 for never."""
 
-    def __init__(self, sock: socket.socket, peer: str, failing_since: int = 0) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        peer: str,
+        failing_since: int = 0,
+        lingering: LingeringSockets | None = None,
+    ) -> None:
         """`peer` names the kind of peer in the counters; `failing_since` is the time since when the
-        connection may have waited to be accepted."""
-        self.sock, self.peer = sock, peer
+        connection may have waited to be accepted. With `lingering` it is closed gracefully."""
+        self.sock, self.peer, self.lingering = sock, peer, lingering
         self.reads_failing_since = failing_since  # until the next successful read
         self.delayed_since = self.sends_failing_since = 0
         self.loop = asyncio.get_running_loop()
@@ -176,7 +185,14 @@
                 sends_left = MAX_SENDS_PER_TURN
 
     def close(self) -> None:
-        """Closes the socket."""
+        """Closes the socket, gracefully where it was made so."""
+        if self.lingering is not None:
+            self.lingering.add(self.sock)
+        else:
+            close_quietly(self.sock)
+
+    def abort(self) -> None:
+        """Closes the socket at once; the peer may lose what it has not received yet."""
         close_quietly(self.sock)
 
     def _raise_if_fatal(self, call: str, error: OSError) -> None:
