Close no connection whose request or answer is still on its way

Cause: a connection was idle once all it had read was answered and all answers were taken by the kernel; nobody asked what waits to be read, or whether the client is behind. The same in an eviction and at the end of a drain.

Change: idle needs that poll shows no input and that the client's window holds back nothing of the send queue. Drain, its end and eviction ask right before they close; the signed front asks for input.

Tests: three of tests/test_graceful_close.py fail without it and pass now.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -13,7 +13,7 @@
 from onyxpulley.buffers import Buffer
 from onyxpulley.clock import now_us
 from onyxpulley.core import Answer, Exchange, Request, Verdict
-from onyxpulley.lingering import LingeringSockets
+from onyxpulley.lingering import LingeringSockets, blocked_bytes
 from onyxpulley.listeners import (
     FIRST_REQUEST_GRACE_US,
     SILENT_CONNECTION_WEIGHT,
@@ -414,8 +414,17 @@
         return (now - self.last_activity) * (1 if received_anything else SILENT_CONNECTION_WEIGHT)
 
     def is_idle(self) -> bool:
-        """Whether everything is answered and no part of a message has arrived."""
-        return self.all_answered() and self.buffer.start == self.buffer.end and not self.bytes_to_discard
+        """Whether everything is answered and delivered, and no part of a message has arrived."""
+        has_partial_message = self.buffer.start < self.buffer.end or self.bytes_to_discard
+        return self.all_answered() and not has_partial_message and self.is_delivered()
+
+    def is_delivered(self) -> bool:
+        """Whether the client takes what it is sent, and has sent nothing that waits to be read.
+
+        A client that is behind with reading goes on sending requests, as it cannot see yet that the
+        connection was closed. What waits to be read may do so because the event loop lags or reads fail.
+        """
+        return not self.stream.may_have_input() and not blocked_bytes(self.stream.sock)
 
     def close(self, reason: CloseReason = CloseReason.ROOM) -> None:
         """Closes the connection and abandons its open requests. Does nothing if it is closed already."""
@@ -568,11 +577,12 @@
     def is_quiet(self) -> bool:
         """Whether all answers are written and delivered, and no request is on its way in.
 
-        Requests that take their time to arrive count: closing on them would fail them.
+        Requests that take their time to arrive count, and those that wait to be read: closing on them would
+        fail them.
         """
         if self.unsent_bytes or not self.lingering.all_delivered():
             return False
-        return not any(c.open_requests or c.waiting_since for c in self.connections)
+        return not any(c.open_requests or c.waiting_since or not c.is_delivered() for c in self.connections)
 
     def close(self) -> None:
         """Closes the listener and all connections."""
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -16,7 +16,7 @@
 from onyxpulley import logs
 from onyxpulley.clock import now_us
 from onyxpulley.listeners import SILENT_CONNECTION_WEIGHT
-from onyxpulley.streams import Stream
+from onyxpulley.streams import ClientStream
 
 MAX_URL_LENGTH = 8_192
 MAX_HEADER_BYTES = 16_384
@@ -69,7 +69,7 @@
     Reads requests ahead, answers them in order, and cancels the running request when the client disconnects.
     """
 
-    def __init__(self, stream: Stream, handler: Handler, max_body: int) -> None:
+    def __init__(self, stream: ClientStream, handler: Handler, max_body: int) -> None:
         self.stream = stream
         self.handler = handler
         self.max_body = max_body  # bytes
@@ -153,7 +153,12 @@
 
     def is_idle(self) -> bool:
         """Whether no response is due and no request is being received."""
-        return self.all_answered() and not (self.received_data and self.awaiting_since)
+        is_receiving = self.received_data and self.awaiting_since
+        return self.all_answered() and not is_receiving and self.is_delivered()
+
+    def is_delivered(self) -> bool:
+        """Whether the client has sent nothing that waits to be read."""
+        return not self.stream.may_have_input()
 
     def eviction_age(self, now: int) -> int:
         """Returns the microseconds without activity, weighted up for a connection that never sent a byte."""
--- a/onyxpulley/lingering.py
+++ b/onyxpulley/lingering.py
@@ -19,6 +19,7 @@
 from onyxpulley.streams import close_quietly
 from onyxpulley.system_calls import ErrorKind, classify_error
 
+SIOCOUTQNSD = 0x894B  # missing from the standard library
 INT = struct.Struct("i")
 SCRATCH_BYTES = 65_536  # read at a time and discarded
 MAX_READS_PER_POLL = 4  # of one socket, so that a peer that goes on sending does not hold up the others
@@ -39,6 +40,11 @@
     return _queue_length(sock, termios.TIOCOUTQ)
 
 
+def blocked_bytes(sock: socket.socket) -> int:
+    """Bytes that the kernel could not send yet, since the peer reads more slowly than it is sent to."""
+    return _queue_length(sock, SIOCOUTQNSD)
+
+
 @dataclass(slots=True)
 class LingeringSocket:
     """A socket that is shut down for writing. Times are monotonic microseconds."""
--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -48,6 +48,10 @@
         """Whether no request is open and no answer unsent."""
         ...
 
+    def is_delivered(self) -> bool:
+        """Whether the client takes what it is sent, and has sent nothing that waits to be read."""
+        ...
+
     def eviction_age(self, now: int) -> int:
         """Microseconds of idle time, weighted on a connection on which nothing was ever received."""
         ...
@@ -60,12 +64,17 @@
 def evict_one(connections: Iterable[EvictableConnection], now: int) -> bool:
     """Closes the longest idle of the connections on which everything is answered; False if there is none.
 
-    Connections that wait for a slow or a next request outlast those that never sent anything.
+    Connections that wait for a slow or a next request outlast those that never sent anything. One whose
+    request waits to be read, or whose client still reads an answer, only looks idle.
     """
     evictable = [connection for connection in connections if connection.all_answered()]
-    if evictable:
-        max(evictable, key=lambda connection: connection.eviction_age(now)).close()
-    return bool(evictable)
+    while evictable:
+        longest_idle = max(evictable, key=lambda connection: connection.eviction_age(now))
+        if longest_idle.is_delivered():
+            longest_idle.close()
+            return True
+        evictable.remove(longest_idle)
+    return False
 
 
 class Listener:
--- a/onyxpulley/spiffe/tls.py
+++ b/onyxpulley/spiffe/tls.py
@@ -71,6 +71,10 @@
         """That of the plain stream."""
         return self.plain.peer_may_have_left()
 
+    def may_have_input(self) -> bool:
+        """Whether bytes, the end of the stream or an error wait to be read."""
+        return self.plain.may_have_input()
+
     async def handshake(self) -> None:
         """Completes the handshake, without a timeout. Raises OSError."""
         await self._step(self.connection.do_handshake)
--- a/onyxpulley/streams.py
+++ b/onyxpulley/streams.py
@@ -91,6 +91,14 @@
         ...
 
 
+class ClientStream(Stream, Protocol):
+    """A connection of a client."""
+
+    def may_have_input(self) -> bool:
+        """Whether bytes, the end of the stream or an error wait to be read."""
+        ...
+
+
 class SocketStream:
     """A plain connection on a non-blocking socket. Points in time are monotonic microseconds, 0 for never."""
 
@@ -172,6 +180,12 @@
         poll.register(self.sock, select.POLLOUT)
         return not poll.poll(0)
 
+    def may_have_input(self) -> bool:
+        """Whether bytes, the end of the stream or an error wait to be read."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return bool(poll.poll(0))
+
     async def send_all(self, data: Data) -> None:
         """Sends everything, waiting as needed, and lets other tasks run between many small sends."""
         rest, sends_left = memoryview(data), MAX_SENDS_PER_TURN
--- a/tests/test_graceful_close.py
+++ b/tests/test_graceful_close.py
@@ -17,6 +17,7 @@
 from onyxpulley.console import Console
 from onyxpulley.http import Connection, HttpRequest, Response
 from onyxpulley.lingering import LingeringSockets
+from onyxpulley.listeners import evict_one
 from onyxpulley.streams import SocketStream
 
 from .player import encode_resp
@@ -119,6 +120,39 @@
     play(tmp_path, script)
 
 
+# Guards against closing on a client that cannot see the end yet, behind what it still reads, and sends on.
+def test_a_drain_waits_for_a_client_that_is_behind_with_reading(tmp_path: Path) -> None:
+    async def script(scene: Scene) -> None:
+        await scene.send_answer()
+        scene.front.drain()
+        assert not scene.connection.closed and not scene.front.is_quiet()
+        received = 0
+        while received < len(LARGE):
+            received += len(await asyncio.get_running_loop().sock_recv(scene.client, 65_536))
+        await asyncio.sleep(0.05)
+        scene.front.drain()
+        assert scene.connection.closed
+
+    play(tmp_path, script)
+
+
+# Guards against dropping a request that has arrived and waits to be read, because the event loop lags.
+@pytest.mark.parametrize("closing", ["drain", "eviction"])
+def test_a_connection_with_unread_input_is_not_idle(closing: str, tmp_path: Path) -> None:
+    async def script(scene: Scene) -> None:
+        await scene.send_answer(b"an answer")
+        assert await asyncio.get_running_loop().sock_recv(scene.client, 100) == b"an answer"
+        scene.client.sendall(STATUS)
+        if closing == "drain":
+            scene.front.drain()
+        else:
+            assert not evict_one([scene.connection], now_us())
+        assert not scene.connection.closed and not scene.front.is_quiet()
+        assert b"unfit" in await asyncio.get_running_loop().sock_recv(scene.client, 100)
+
+    play(tmp_path, script)
+
+
 # Guards against an exit that discards what a connection that is being closed has not delivered yet.
 def test_the_end_of_a_drain_waits_for_what_is_not_delivered(tmp_path: Path) -> None:
     async def script(scene: Scene) -> None:
