Drop own copies when an event of discovery is passed over

Change: the reader tells that an event was passed over; all own copies are dropped, and for a minute none is taken in that was issued before. Noise without an event's number drops nothing.

Tests: test_own_copies_are_dropped_when_an_event_is_passed_over failed before in both forms and passes now.

--- a/onyxpulley/clock.py
+++ b/onyxpulley/clock.py
@@ -76,6 +76,10 @@
             self.proven_offset = offset if self.proven_offset is None else max(self.proven_offset, offset)
             self.latest_offset = max(self.latest_offset, offset)
 
+    def latest_unix_ms(self) -> int:
+        """The platform's time now, in Unix milliseconds, as late as it may be."""
+        return (self.latest_offset + self.clock()) // 1000
+
     def min_age_us(self, unix_ms: int) -> int:
         """The least age of something that happened at `unix_ms`; 0 if no timestamp proves more."""
         if self.proven_offset is None:
--- a/onyxpulley/copy_store.py
+++ b/onyxpulley/copy_store.py
@@ -36,6 +36,7 @@
         self.entries: OrderedDict[CopyKey, Copy] = OrderedDict()
         # by object or group: when the purge was issued (Unix ms), and when it arrived (monotonic us)
         self.purges: dict[tuple[str, object], tuple[int, int]] = {}
+        self.everything_purged = 0, 0  # the same for the last purge of all copies
 
     def get(self, key: CopyKey) -> Copy | None:
         """The copy under this key, which becomes the most recently used one."""
@@ -87,9 +88,17 @@
             ):
                 self._drop(key)
 
+    def purge_all(self, issued_ms: int) -> None:
+        """Drops all copies, and takes none in that was issued before while servers may still hold such."""
+        self.everything_purged = issued_ms, now_us()
+        for key in list(self.entries):
+            self._drop(key)
+
     def _purged_at(self, object_id: str, group: int | None) -> int:
         """When the latest purge of this object was issued, in Unix milliseconds; 0: none is known."""
-        return max(self._issued_at(("item", object_id)), self._issued_at(("group", group)))
+        issued_ms, arrived = self.everything_purged
+        recent_ms = issued_ms if now_us() - arrived < PURGE_MEMORY_US else 0
+        return max(self._issued_at(("item", object_id)), self._issued_at(("group", group)), recent_ms)
 
     def _issued_at(self, purge_key: tuple[str, object]) -> int:
         return self.purges.get(purge_key, (0, 0))[0]
--- a/onyxpulley/discovery.py
+++ b/onyxpulley/discovery.py
@@ -254,6 +254,11 @@
             self.log(f"after {self.last_number}: {error}")
             self.close_connection(key)
 
+    def _distrust_copies(self) -> None:
+        """Drops all own copies: an event that was passed over may have been the purge of any of them."""
+        self.events.lost_event = False
+        self.exchange.copies.purge_all(self.decisions.platform_clock.latest_unix_ms())
+
     def _pass_on_confirmation(self, sent_after: float) -> None:
         """Tells the decisions if a line has shown that no event was missing when it was sent. It may have
         waited in the network or in the kernel since `sent_after`, but not longer."""
@@ -279,6 +284,8 @@
         try:
             for line in lines:
                 event = self.events.read(line)
+                if self.events.lost_event:
+                    self._distrust_copies()
                 if isinstance(event, MembershipEvent) and not event.full:
                     for timestamp in timestamps_of(event):
                         self.decisions.platform_clock.observe_event(timestamp)
--- a/onyxpulley/discovery_events.py
+++ b/onyxpulley/discovery_events.py
@@ -112,6 +112,7 @@
         self.skipped = 0  # malformed lines skipped in all
         self.bad_lines = 0  # malformed lines skipped since the last event
         self.confirmed = False  # a line showed that no event was missing; reset by whoever acts on it
+        self.lost_event = False  # an event was passed over, whatever it said; reset by whoever acts on it
 
     def read(self, line: bytes) -> Event | None:
         """The next event, or None for a line with nothing new. Raises DiscoveryStreamError."""
@@ -137,7 +138,9 @@
         except PARSE_ERRORS as error:
             self._skip(number, error)
             self.last_number = number
+            self.lost_event = True
             return None
+        self.lost_event = self.lost_event or number > self.last_number + 1
         self.last_number, self.bad_lines = number, 0
         return event
 
--- a/tests/test_unconfirmed_events.py
+++ b/tests/test_unconfirmed_events.py
@@ -207,3 +207,31 @@
 
     play(script)
     assert [line for line in lines if "not confirmed for 7." in line]
+
+
+# Guards against keeping a copy whose purge was among the events that could not be read or never came.
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [b'{"no":2,"recall":{}}\n', b'{"no":2,"recall":{}}\n'],
+        [b'{"no":5,"recall":{"item":"ff","issued":5}}\n', b'{"no":5,"recall":{"item":"ff","issued":5}}\n'],
+    ],
+)
+def test_own_copies_are_dropped_when_an_event_is_passed_over(lines: list[bytes]) -> None:
+    async def script(scene: ScriptedDiscovery) -> None:
+        await scene.send(b"1\n")
+        first, second = lines
+        await scene.send(first)
+        assert scene.serves_own_copy(), "it may still come, and the connection is opened again"
+        scene.peer.close()
+        await scene.connect()
+        await scene.send(second + b"5\n")
+        copies = scene.exchange.copies
+        assert scene.discovery.last_number in (2, 5) and not scene.serves_own_copy() and not copies.entries
+        key, new = ("video-part", "7f3a9c21e0b4d655", 0), unix_us() // 1000 + 100
+        copies.put(key, Copy(b"x", "aa", new - 1000, 1))
+        assert not copies.entries, "a server may still hold what was purged"
+        copies.put(key, Copy(b"x", "aa", new, 1))
+        assert copies.entries
+
+    play(script)
