Refuse HTTP requests beyond the limit instead of ending the connection

Behind a request that ends its connection nothing was read for 10 s, so a client that left then was not noticed.

Cause: Connection.run left its loop, which closes; and it slept instead of reading on.

Change: the request over the limit is answered with 429 behind the others and ends the connection; what follows is read and discarded, and the end of the stream is noticed.

--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -20,7 +20,7 @@
 
 MAX_URL_LENGTH = 8_192
 MAX_HEADER_BYTES = 16_384
-MAX_PIPELINED = 4  # requests waiting on one connection
+MAX_PIPELINED = 4  # requests waiting on one connection; the next one is refused and ends the connection
 READ_SIZE = 16_384  # bytes
 WRITE_TIMEOUT = 10.0  # seconds for a client to read one response
 IDLE_TIMEOUT = 30.0  # seconds without a request after which a connection is closed
@@ -81,6 +81,7 @@
         self.wake = asyncio.Event()  # set when a request was added to `pending`
         self.closed = False
         self.busy = False  # a request is being answered
+        self.rejected = False  # the last request ends the connection: what follows it is discarded
         # Monotonic microseconds. `awaiting_since` is when the connection began to wait for a whole request;
         # 0 while none is awaited.
         self.last_activity = self.awaiting_since = now_us()
@@ -141,6 +142,8 @@
         request.body = b"".join(self.parts)
         request.received_at = self.stream.delayed_since or now_us()
         request.client_may_have_left = self.stream.peer_may_have_left
+        if len(self.pending) >= MAX_PIPELINED:
+            request.error_status = request.error_status or HTTPStatus.TOO_MANY_REQUESTS
         request.keep_alive = self.parser.should_keep_alive() and request.error_status is None
         self.pending.append(request)
         self.had_request = True
@@ -185,11 +188,11 @@
                     break
                 self.received_data = True
                 self.last_activity = now_us()
+                if self.rejected:
+                    continue  # only the end of the stream matters: the client gives up what is still open
                 self.parser.feed_data(buffer[:received])
-                if self.pending and self.pending[-1].error_status:
-                    # Reads no further: the response closes the connection and cancels this task.
-                    await asyncio.sleep(WRITE_TIMEOUT)
-                if len(self.pending) > MAX_PIPELINED or self.size > 4 * self.max_body + MAX_HEADER_BYTES:
+                self.rejected = bool(self.pending and self.pending[-1].error_status)
+                if self.size > 4 * self.max_body + MAX_HEADER_BYTES:
                     break
         except httptools.HttpParserUpgrade:
             pass
--- a/tests/test_graceful_close.py
+++ b/tests/test_graceful_close.py
@@ -15,7 +15,7 @@
 from onyxpulley.clients import ClientConnection, CloseReason, PlatformFront
 from onyxpulley.clock import now_us
 from onyxpulley.console import Console
-from onyxpulley.http import Connection, HttpRequest, Response
+from onyxpulley.http import MAX_PIPELINED, Connection, HttpRequest, Response
 from onyxpulley.lingering import LingeringSockets
 from onyxpulley.listeners import evict_one
 from onyxpulley.streams import SocketStream
@@ -240,3 +240,53 @@
             console.lingering.poll()
 
     asyncio.run(main())
+
+
+# Guards against ending a connection, with all that is open on it, for one request too many.
+def test_http_requests_beyond_the_limit_are_refused_behind_the_others() -> None:
+    async def answer(request: HttpRequest) -> Response:
+        await asyncio.sleep(0.01)
+        return Response(HTTPStatus.OK, request.target.encode())
+
+    async def main() -> bytes:
+        with connect() as (sock, client):
+            sockets = LingeringSockets()
+            connection = Connection(SocketStream(sock, "client", 0, sockets), answer, 100)
+            serving = asyncio.create_task(connection.run())
+            for number in range(MAX_PIPELINED + 3):
+                client.sendall(b"GET /%d HTTP/1.1\r\n\r\n" % number)
+            received = b""
+            while data := await asyncio.get_running_loop().sock_recv(client, 16_384):
+                received += data
+            await asyncio.wait([serving])
+            return received
+
+    received = asyncio.run(main())
+    assert [received.count(b"\r\n\r\n/%d" % number) for number in range(MAX_PIPELINED)] == [1] * MAX_PIPELINED
+    assert received.count(b"HTTP/1.1 200") >= MAX_PIPELINED and received.count(b"HTTP/1.1 429") == 1
+    assert received.index(b"HTTP/1.1 429") > received.rindex(b"HTTP/1.1 200")
+
+
+# Guards against going on for a client that left behind a request that ends the connection.
+def test_an_http_client_that_leaves_behind_a_refused_request_is_noticed() -> None:
+    cancelled = asyncio.Event()
+
+    async def answer(request: HttpRequest) -> Response:
+        try:
+            await asyncio.sleep(5.0)
+        finally:
+            cancelled.set()
+        return Response(HTTPStatus.OK)
+
+    async def main() -> None:
+        with connect() as (sock, client):
+            connection = Connection(SocketStream(sock, "client", 0, LingeringSockets()), answer, 100)
+            serving = asyncio.create_task(connection.run())
+            client.sendall(b"GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\nContent-Length: 1000\r\n\r\n")
+            await asyncio.sleep(0.05)
+            client.close()
+            async with asyncio.timeout(0.1):
+                await cancelled.wait()
+            await asyncio.wait([serving])
+
+    asyncio.run(main())
