Answer what is open on an HTTP connection before bad input ends it

Change: both add a response, 400 or 408, behind those that are due, which ends the connection; nothing more is parsed.

--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -190,26 +189,40 @@
                 self.last_activity = now_us()
                 if self.rejected:
                     continue  # only the end of the stream matters: the client gives up what is still open
-                self.parser.feed_data(buffer[:received])
-                self.rejected = bool(self.pending and self.pending[-1].error_status)
+                self._feed(buffer[:received])
                 if self.size > 4 * self.max_body + MAX_HEADER_BYTES:
                     break
         except httptools.HttpParserUpgrade:
             pass
-        except (httptools.HttpParserError, httptools.HttpParserCallbackError, UnicodeDecodeError):
-            await self._reject_malformed()
         except (OSError, TimeoutError):
             pass
         finally:
             self.close()
 
-    async def _reject_malformed(self) -> None:
-        """Answers bytes that are not HTTP with 400, unless another response is under way."""
-        if self.busy or self.pending:
+    def _feed(self, data: memoryview) -> None:
+        """Parses what was received. Raises HttpParserUpgrade."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise
+        except (httptools.HttpParserError, httptools.HttpParserCallbackError, UnicodeDecodeError):
+            self._reject(HTTPStatus.BAD_REQUEST)
             return
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(1.0):
-                await self.stream.send_all(encode(Response(HTTPStatus.BAD_REQUEST), False))
+        self.rejected = bool(self.pending and self.pending[-1].error_status)
+
+    def _reject(self, status: HTTPStatus) -> None:
+        """Ends the connection with this status, behind the responses that are due; reads no more requests."""
+        self.rejected = True
+        self.awaiting_since = 0
+        self.pending.append(HttpRequest(keep_alive=False, error_status=status))
+        self.wake.set()
+
+    def end_overdue(self) -> None:
+        """Ends a connection that `is_overdue`; requests that are open on it get their responses first."""
+        if self.all_answered():
+            self.close()
+        else:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
     async def _answer(self) -> None:
         try:
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -507,9 +507,9 @@
             self.connections.discard(connection)
 
     def sweep(self) -> None:
-        """Closes connections that sent no complete request for too long."""
+        """Ends connections that sent no complete request for too long."""
         for connection in [c for c in self.connections if c.is_overdue()]:
-            connection.close()
+            connection.end_overdue()
 
     def close_idle(self) -> None:
         """Closes idle connections that are to go elsewhere; one without a request so far is spared for a
--- a/tests/test_graceful_close.py
+++ b/tests/test_graceful_close.py
@@ -15,7 +15,7 @@
 from onyxpulley.clients import ClientConnection, CloseReason, PlatformFront
 from onyxpulley.clock import now_us
 from onyxpulley.console import Console
-from onyxpulley.http import MAX_PIPELINED, Connection, HttpRequest, Response
+from onyxpulley.http import MAX_PIPELINED, REQUEST_TIMEOUT, Connection, HttpRequest, Response
 from onyxpulley.lingering import LingeringSockets
 from onyxpulley.listeners import evict_one
 from onyxpulley.streams import SocketStream
@@ -290,3 +290,36 @@
             await asyncio.wait([serving])
 
     asyncio.run(main())
+
+
+# Guards against dropping open requests because malformed bytes, or half a request, follow them.
+@pytest.mark.parametrize(
+    ("rest", "status"),
+    [(b"\x00 is not HTTP\r\n\r\n", b"400"), (b"GET /half", b"408")],
+)
+def test_http_requests_ahead_of_bad_input_are_answered(rest: bytes, status: bytes) -> None:
+    async def answer(request: HttpRequest) -> Response:
+        await asyncio.sleep(0.2)
+        return Response(HTTPStatus.OK, b"answered")
+
+    async def main() -> bytes:
+        with connect() as (sock, client):
+            sockets = LingeringSockets()
+            connection = Connection(SocketStream(sock, "client", 0, sockets), answer, 100)
+            serving = asyncio.create_task(connection.run())
+            client.sendall(b"GET /1 HTTP/1.1\r\n\r\n" + rest)
+            await asyncio.sleep(0.05)
+            if connection.awaiting_since:
+                connection.awaiting_since -= int(2 * REQUEST_TIMEOUT * 1e6)
+                assert connection.is_overdue()
+                connection.end_overdue()
+                assert not connection.is_overdue()
+            received = b""
+            while data := await asyncio.get_running_loop().sock_recv(client, 16_384):
+                received += data
+            await asyncio.wait([serving])
+            return received
+
+    received = asyncio.run(main())
+    assert received.startswith(b"HTTP/1.1 200") and b"answered" in received
+    assert received.count(b"HTTP/1.1 " + status) == 1
