Refuse clients that read too slowly instead of closing their connections

Cause: past the limit on unread answers PlatformFront.close_slowest_reader closed the connection with the most of them, with all requests that were open on it: the router's own close, so they are lost.

Change: past the limit, new requests of a client that is behind are refused at once and served answers of safe classes become refusals; what must not run twice keeps its answer up to 1.5 times the limit and is failed beyond. The close remains for twice the limit. Two counters tell.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -37,6 +37,11 @@
 MESSAGE_TIMEOUT_US = 2_600_000
 MAX_LOG_LINES_PER_SECOND = 20  # about bad clients
 SEND_TIMEOUT_S = 10.0
+# Multiples of the limit on unread answers: up to the first, clients that keep up with reading get answers, up
+# to the second all get those of what must not run twice; beyond the third, the slowest reader is closed.
+FULL_QUEUE_FACTOR = 1.25
+MAX_QUEUE_FACTOR = 1.5
+CLOSE_QUEUE_FACTOR = 2.0
 RECENT_REQUEST_US = 2_100_000  # a client that sent a request this recently is not left open after a drain
 REPLY_STATUS = {
     Verdict.SERVED: b"good",
@@ -319,6 +324,7 @@
                 return self._reject(elements, f"bad request: {error}")
 
             def reply(answer: Answer) -> None:
+                answer = self.front.limit_answer(self, request.cls, answer)
                 self._send_answer(tag, answer)
 
             request.reply = reply
@@ -326,7 +332,10 @@
             first = not self.last_request_at
             self.last_request_at = self.last_activity
             self.open_requests[tag] = request
-            self.front.exchange.submit(request, first)
+            if self.front.has_queue_room(self):
+                self.front.exchange.submit(request, first)
+            else:
+                self.front.exchange.refuse(request, "unread")
         elif verb == b"NEVERMIND":
             abandoned = self.open_requests.pop(tag, None)
             if abandoned is not None:
@@ -349,7 +358,10 @@
         self.send(encode_reply(tag, REPLY_STATUS[answer.verdict], ",".join(reply_fields), answer.body))
 
     def send(self, data: bytes) -> None:
-        """Queues data for the writer; may close the connection with the most unsent data to free memory."""
+        """Queues data for the writer; may close the connection with the most unsent data to free memory.
+
+        That is the last resort against clients that read nothing: see `PlatformFront.has_queue_room`.
+        """
         if self.closed:
             return
         self.sent_anything = True
@@ -357,7 +369,7 @@
         self.unsent_bytes += len(data)
         self.front.unsent_bytes += len(data)
         self.wake_writer.set()
-        if self.front.unsent_bytes > self.front.limits.queued_answer_bytes:
+        if self.front.unsent_bytes > CLOSE_QUEUE_FACTOR * self.front.limits.queued_answer_bytes:
             self.front.close_slowest_reader()
 
     async def _write(self) -> None:
@@ -470,8 +482,11 @@
         classes: frozenset[str],
         limits: Limits,
         lingering: LingeringSockets | None = None,
+        is_safe: Callable[[str], bool] = lambda cls: False,
     ) -> None:
+        """`is_safe` tells whether requests of a class may run twice."""
         super().__init__(lingering)
+        self.is_safe = is_safe
         self.exchange = exchange
         self.classes = classes  # names of the request classes that are accepted
         self.limits = limits
@@ -543,6 +558,32 @@
         """Starts to serve an accepted connection."""
         self.connections.add(ClientConnection(self, sock, self.failing_since))
 
+    def has_queue_room(self, client: ClientConnection, more_bytes: int = 0) -> bool:
+        """Whether answers may be queued for a client, so that all unread answers stay within their limit.
+
+        At the limit those must wait that are behind with reading; others take what they are sent at once.
+        """
+        limit = self.limits.queued_answer_bytes
+        queued = self.unsent_bytes + more_bytes
+        return queued <= limit or (not client.unsent_bytes and queued <= FULL_QUEUE_FACTOR * limit)
+
+    def limit_answer(self, client: ClientConnection, cls: str, answer: Answer) -> Answer:
+        """The answer, or what takes its place for lack of memory.
+
+        A refusal is harmless for safe classes. What must not run twice has run: it fails, at a higher limit.
+        """
+        if answer.verdict is not Verdict.SERVED:
+            return answer
+        if self.is_safe(cls):
+            if self.has_queue_room(client, len(answer.body)):
+                return answer
+            metrics.count("answer_dropped.refused")
+            return Answer(Verdict.REFUSED, retry_after_ms=self.exchange.policy.retry_after_ms())
+        if self.unsent_bytes + len(answer.body) <= MAX_QUEUE_FACTOR * self.limits.queued_answer_bytes:
+            return answer
+        metrics.count("answer_dropped.failed")
+        return Answer(Verdict.FAILED, may_have_run=True)
+
     def close_slowest_reader(self) -> None:
         """Closes the connection with the most unsent data, to free memory that clients hold unread."""
         slowest = max(self.connections, key=lambda c: c.unsent_bytes, default=None)
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -250,13 +250,9 @@
         it is accepted while draining.
         """
         self.read_pending()
-        self.serial += 1
-        request.key = f"q{self.serial}"
-        request.received_at = now_us()
-        self.body_bytes += len(request.body)
+        self._register(request)
         if self.ending or (self.closing and not is_first) or self._is_full():
-            metrics.count("refused.closing" if self.closing or self.ending else "refused.full")
-            self._answer(request, Answer(Verdict.REFUSED, retry_after_ms=self.policy.retry_after_ms()))
+            self._refuse(request, "closing" if self.closing or self.ending else "full")
             return
         if request.txn in self.open_txns:  # servers tell requests apart by it: the answers could be swapped
             metrics.count("failed.id_in_use")
@@ -267,6 +263,21 @@
         request.own_copy = self.copies.get((request.cls, request.object_id, request.part))
         self._run_decision(request, lambda: self.policy.route(request))
 
+    def refuse(self, request: Request, reason: str) -> None:
+        """Takes a new request and refuses it at once; `reason` names the counter."""
+        self._register(request)
+        self._refuse(request, reason)
+
+    def _register(self, request: Request) -> None:
+        self.serial += 1
+        request.key = f"q{self.serial}"
+        request.received_at = now_us()
+        self.body_bytes += len(request.body)
+
+    def _refuse(self, request: Request, reason: str) -> None:
+        metrics.count(f"refused.{reason}")
+        self._answer(request, Answer(Verdict.REFUSED, retry_after_ms=self.policy.retry_after_ms()))
+
     def _is_full(self) -> bool:
         """Whether the limits that bound the memory of all open requests are reached."""
         return (
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -95,7 +95,13 @@
         )
         self.exchange.read_pending = self.discovery.read_pending
         self.lingering = LingeringSockets()
-        self.platform_front = PlatformFront(self.exchange, self.decisions.class_names, limits, self.lingering)
+        self.platform_front = PlatformFront(
+            self.exchange,
+            self.decisions.class_names,
+            limits,
+            self.lingering,
+            self.decisions.is_safe,
+        )
         self.stop_requested = asyncio.Event()
         self.http_fronts: list[HttpFront] = []
         self.console = Console(
