Rank idle connections once for many evictions

Cause: at the limit each accept scans all 512 connections for the longest idle one, 402 us by a probe, where accepting and closing one take 80 us: the event loop lags, 0.6 to 0.9 s to the first attempt at the 99th percentile.

Change: EvictionRanking ranks up to 64 at once, for 0.1 s, and asks each again right before its close. Drain and its end ask the cheap questions first.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -18,8 +18,8 @@
     FIRST_REQUEST_GRACE_US,
     SILENT_CONNECTION_WEIGHT,
     EvictableConnection,
+    EvictionRanking,
     Listener,
-    evict_one,
 )
 from onyxpulley.streams import SocketStream
 
@@ -495,6 +495,7 @@
         # may be closed to make room.
         self.other_connections: Callable[[], int] = lambda: 0
         self.evictable_elsewhere: Callable[[], Iterable[EvictableConnection]] = tuple
+        self.eviction = EvictionRanking(lambda: (*self.connections, *self.evictable_elsewhere()))
         self.unsent_bytes = 0  # of all connections
         self.ready = False  # what STATUS tells
         self.draining = False
@@ -510,7 +511,7 @@
         """Whether one more connection may be accepted; at the limit it closes another one to make room."""
         if self._has_room() or self.lingering.close_one():
             return True
-        if not evict_one((*self.connections, *self.evictable_elsewhere()), now_us()):
+        if not self.eviction.evict_one(now_us()):
             return False
         return self._has_room() or self.lingering.close_one()
 
@@ -602,7 +603,7 @@
         for client in [
             c
             for c in self.connections
-            if c.is_idle() and (c.last_request_at or now - c.last_activity > FIRST_REQUEST_GRACE_US)
+            if (c.last_request_at or now - c.last_activity > FIRST_REQUEST_GRACE_US) and c.is_idle()
         ]:
             client.close(CloseReason.IDLE)
 
@@ -623,7 +624,9 @@
         """
         if self.unsent_bytes or not self.lingering.all_delivered():
             return False
-        return not any(c.open_requests or c.waiting_since or not c.is_delivered() for c in self.connections)
+        if any(c.open_requests or c.waiting_since for c in self.connections):
+            return False
+        return all(c.is_delivered() for c in self.connections)
 
     def close(self) -> None:
         """Closes the listener and all connections."""
--- a/onyxpulley/listeners.py
+++ b/onyxpulley/listeners.py
@@ -5,9 +5,10 @@
 import asyncio
 import contextlib
 import ctypes
+import heapq
 import socket
 import struct
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from onyxpulley import logs, metrics
@@ -24,6 +25,8 @@
 # stand for one connection that was given up before it was accepted.
 MAX_IMMEDIATE_RETRIES = 512
 ACCEPT_QUEUE_TIMEOUT_US = 500_000  # for accepting what is queued before the socket is closed
+RANKING_VALID_US = 100_000  # of idle connections; short compared with the time for which they are idle
+MAX_RANKED_IDLE = 64  # about as many as are evicted in that time
 SO_ATTACH_REUSEPORT_CBPF = 51  # missing from the socket module
 BPF_RET_K = 0x06  # BPF_RET | BPF_K; as the whole program: "socket K of the group"
 
@@ -44,6 +47,9 @@
 class EvictableConnection(Protocol):
     """A connection of any front that may be closed to make room for another one."""
 
+    closed: bool
+    last_activity: int  # monotonic us
+
     def all_answered(self) -> bool:
         """Whether no request is open and no answer unsent."""
         ...
@@ -77,6 +83,40 @@
     return False
 
 
+class EvictionRanking:
+    """Evicts like `evict_one` from very many connections, and ranks them once for several evictions.
+
+    Under a crowd every accept needs an eviction, and to look at all connections costs ten times as much as to
+    accept one.
+    """
+
+    def __init__(self, connections: Callable[[], Iterable[EvictableConnection]]) -> None:
+        """`connections` returns all that may be evicted now."""
+        self.connections = connections
+        self.ranked: list[tuple[EvictableConnection, int]] = []  # with its last activity; longest idle last
+        self.ranked_at = 0  # monotonic us
+
+    def evict_one(self, now: int) -> bool:
+        """Closes the longest idle connection on which everything is answered; False if there is none."""
+        if self.ranked and now - self.ranked_at < RANKING_VALID_US and self._evict_ranked():
+            return True
+        idle = [connection for connection in self.connections() if connection.all_answered()]
+        longest_idle = heapq.nlargest(MAX_RANKED_IDLE, idle, key=lambda c: c.eviction_age(now))
+        self.ranked = [(connection, connection.last_activity) for connection in reversed(longest_idle)]
+        self.ranked_at = now
+        return self._evict_ranked() or evict_one(idle, now)
+
+    def _evict_ranked(self) -> bool:
+        """Closes the next one that is still idle. One that is not is no candidate until the next ranking."""
+        while self.ranked:
+            connection, last_activity = self.ranked.pop()
+            has_rested = not connection.closed and connection.last_activity == last_activity
+            if has_rested and connection.all_answered() and connection.is_delivered():
+                connection.close()
+                return True
+        return False
+
+
 class Listener:
     """A listening socket and its accept loop. Subclasses implement `admit` and `add_connection`."""
 
