Let an evicted connection make room before the end of its stream is acknowledged

Seen: under a crowd of idle clients up to 255 new connections in a play were not taken, and requests on them were lost.

Change: the end of the stream does not count.

Test: test_an_eviction_makes_room_at_once failed before and passes now.

--- a/onyxpulley/lingering.py
+++ b/onyxpulley/lingering.py
@@ -36,8 +36,11 @@
 
 
 def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Bytes that the kernel has taken and the peer's has not acknowledged."""
-    return _queue_length(sock, termios.TIOCOUTQ)
+    """Bytes on a socket that was shut down which the peer's kernel has not acknowledged.
+
+    The end of the stream counts as one in the queue and is not a byte: its acknowledgement may be delayed.
+    """
+    return max(0, _queue_length(sock, termios.TIOCOUTQ) - 1)
 
 
 def blocked_bytes(sock: socket.socket) -> int:
--- a/tests/test_graceful_close.py
+++ b/tests/test_graceful_close.py
@@ -207,6 +207,22 @@
     play(tmp_path, script)
 
 
+# Guards against turning new clients away while the end of an evicted connection is not acknowledged yet.
+def test_an_eviction_makes_room_at_once(tmp_path: Path) -> None:
+    async def script(scene: Scene) -> None:
+        scene.front.limits.client_connections = 1
+        for _ in range(
+            20
+        ):  # with questions and answers in turn, the client's kernel delays what it acknowledges
+            await scene.client_sends(STATUS)
+            await asyncio.get_running_loop().sock_recv(scene.client, 100)
+        await asyncio.sleep(0.1)
+        assert scene.front.admit()
+        assert scene.connection.closed and not len(scene.front.lingering)
+
+    play(tmp_path, script)
+
+
 # The same on the signed front, where a client may send on behind a request that ends the connection.
 def test_an_http_response_arrives_whole_before_the_connection_ends() -> None:
     async def answer(request: HttpRequest) -> Response:
