--- a/review/standins2.py
+++ b/review/standins2.py
@@ -579,6 +579,11 @@
         self.process.send_signal(number)
         return now()
 
+    def signal_quietly(self, number: signal.Signals) -> None:
+        """Sends a signal that is not worth a line of the record."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
     def reload(self) -> float:
         self.write_config()
         return self.signal(signal.SIGHUP)
