--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -21,6 +21,7 @@
     EvictionRanking,
     Listener,
 )
+from onyxpulley.message_numbers import NumberSet
 from onyxpulley.platform_messages import (
     MAX_BODY_BYTES,
     MAX_ELEMENT_BYTES,
@@ -29,6 +30,7 @@
     MalformedMessage,
     encode_reply,
     parse_array,
+    parse_number_of,
     parse_request,
 )
 from onyxpulley.streams import SocketStream
@@ -82,7 +84,9 @@
         self.front = front
         self.stream = SocketStream(sock, "client", failing_since, front.lingering)
         self.buffer = Buffer(4_096, MAX_BODY_BYTES + 8 * MAX_ELEMENT_BYTES)
-        self.open_requests: dict[bytes, Request] = {}  # by tag
+        self.open_requests: dict[int, Request] = {}  # by message number
+        self.request_numbers = NumberSet()  # of all messages but STATUS
+        self.status_numbers = NumberSet()  # of STATUS messages, which may come again under the same number
         self.send_queue: deque[bytes] = deque()
         self.unsent_bytes = 0  # in `send_queue` and in the send under way
         self.sent_anything = False
@@ -172,6 +176,7 @@
             try:
                 parsed = parse_array(buffer.data, buffer.start, buffer.end)
             except BodyTooLarge as error:
+                self._take_number(error.elements)
                 self._reject(error.elements, f"body of {error.body_size} bytes is too large")
                 self.bytes_to_discard = error.body_size + 2
                 buffer.start = error.body_start
@@ -184,22 +189,32 @@
             self._handle_message(elements)
 
     def _reject(self, elements: list[bytes], explanation: str) -> None:
-        """Answers a message with a failure. Raises MalformedMessage where it has no valid tag."""
-        tag = elements[1] if len(elements) > 1 else b""
-        if not (tag.isdigit() and len(tag) <= 19 and int(tag) > 0):
-            raise MalformedMessage(explanation)
+        """Answers a message, whose tag is valid, with a failure."""
         self.front.log_bad_client(explanation)
-        self.send(encode_reply(tag, b"broken"))
+        self.send(encode_reply(elements[1], b"broken"))
+
+    def _take_number(self, elements: list[bytes]) -> int:
+        """Returns the number of a message, and notes that it was used. Raises MalformedMessage.
+
+        The client could not tell which of two requests an answer is for. So a number that was used before,
+        whether its request is still open or was answered, ends the connection.
+        """
+        number = parse_number_of(elements)
+        verb = elements[0]
+        if verb == b"NEVERMIND":
+            return number
+        if number in self.open_requests:
+            self.front.exchange.client_left(self.open_requests.pop(number))
+            raise MalformedMessage(f"number {number} is in use by an open request")
+        if number in self.request_numbers or (verb != b"STATUS" and number in self.status_numbers):
+            raise MalformedMessage(f"number {number} was used before")
+        (self.status_numbers if verb == b"STATUS" else self.request_numbers).add(number)
+        return number
 
     def _handle_message(self, elements: list[bytes]) -> None:
-        verb = elements[0] if elements else b""
-        tag = elements[1] if len(elements) > 1 else b""
-        if not (tag.isdigit() and len(tag) <= 19 and int(tag) > 0):
-            raise MalformedMessage(f"not a valid tag: {tag[:40]!r}")
+        number = self._take_number(elements)
+        verb, tag = elements[0], elements[1]
         if verb == b"ASK":
-            if tag in self.open_requests:  # the client could not tell which of the two an answer is for
-                self.front.exchange.client_left(self.open_requests.pop(tag))
-                raise MalformedMessage(f"tag {tag.decode()} is in use by an open request")
             if len(self.open_requests) >= MAX_OPEN_REQUESTS:
                 return self._reject(elements, f"more than {MAX_OPEN_REQUESTS} open requests")
             try:
@@ -210,19 +225,19 @@
 
             def reply(answer: Answer) -> None:
                 answer = self.front.limit_answer(self, request.cls, answer)
-                self._send_answer(tag, answer)
+                self._send_answer(number, tag, answer)
 
             request.reply = reply
             request.client_may_have_left = self.stream.peer_may_have_left
             first = not self.last_request_at
             self.last_request_at = self.last_activity
-            self.open_requests[tag] = request
+            self.open_requests[number] = request
             if self.front.has_queue_room(self):
                 self.front.exchange.submit(request, first)
             else:
                 self.front.exchange.refuse(request, "unread")
         elif verb == b"NEVERMIND":
-            abandoned = self.open_requests.pop(tag, None)
+            abandoned = self.open_requests.pop(number, None)
             if abandoned is not None:
                 self.front.exchange.client_left(abandoned)
         elif verb == b"STATUS":
@@ -230,8 +245,8 @@
         else:
             self._reject(elements, f"unknown verb {verb[:40]!r}")
 
-    def _send_answer(self, tag: bytes, answer: Answer) -> None:
-        if self.open_requests.pop(tag, None) is None:
+    def _send_answer(self, number: int, tag: bytes, answer: Answer) -> None:
+        if self.open_requests.pop(number, None) is None:
             return
         reply_fields = []
         if answer.verdict is Verdict.SERVED and answer.tag:
--- a/onyxpulley/platform_messages.py
+++ b/onyxpulley/platform_messages.py
@@ -10,6 +10,7 @@
 MAX_DISCARDED_BODY_BYTES = 1_048_576
 MAX_ARRAY_ELEMENTS = 8
 MAX_ELEMENT_BYTES = 4_096  # of any element but the body
+MAX_TAG_DIGITS = 19
 REPLY_STATUS = {
     Verdict.SERVED: b"good",
     Verdict.REFUSED: b"refused",
@@ -84,6 +85,14 @@
     return elements, offset
 
 
+def parse_number_of(elements: list[bytes]) -> int:
+    """The number under which a message is answered: its second element, the tag. Raises MalformedMessage."""
+    tag = elements[1] if len(elements) > 1 else b""
+    if not (tag.isdigit() and len(tag) <= MAX_TAG_DIGITS and int(tag) > 0):
+        raise MalformedMessage(f"not a valid tag: {tag[:40]!r}")
+    return int(tag)
+
+
 def encode_reply(tag: bytes, status: bytes, field_list: str = "", body: bytes = b"") -> bytes:
     """One answer as a RESP array: tag, status, fields and body."""
     text = field_list.encode()
