--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -13,14 +13,9 @@
 from onyxpulley.buffers import Buffer
 from onyxpulley.clock import now_us
 from onyxpulley.core import Answer, Exchange, Request, Verdict
+from onyxpulley.eviction import SILENT_CONNECTION_WEIGHT, EvictableConnection, EvictionRanking
 from onyxpulley.lingering import LingeringSockets, blocked_bytes
-from onyxpulley.listeners import (
-    FIRST_REQUEST_GRACE_US,
-    SILENT_CONNECTION_WEIGHT,
-    EvictableConnection,
-    EvictionRanking,
-    Listener,
-)
+from onyxpulley.listeners import FIRST_REQUEST_GRACE_US, Listener
 from onyxpulley.message_numbers import NumberSet
 from onyxpulley.platform_messages import (
     MAX_BODY_BYTES,
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -14,7 +14,7 @@
 
 from onyxpulley import logs
 from onyxpulley.clock import now_us
-from onyxpulley.listeners import SILENT_CONNECTION_WEIGHT
+from onyxpulley.eviction import SILENT_CONNECTION_WEIGHT
 from onyxpulley.streams import ClientStream
 
 MAX_URL_LENGTH = 8_192
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -24,8 +24,9 @@
 from onyxpulley.decision_adapter import DecisionAdapter
 from onyxpulley.discovery import DiscoveryClient
 from onyxpulley.discovery_events import CONNECT_TIMEOUT_S, PARSE_ERRORS
+from onyxpulley.eviction import evict_one
 from onyxpulley.lingering import LingeringSockets
-from onyxpulley.listeners import FIRST_REQUEST_GRACE_US, Listener, evict_one
+from onyxpulley.listeners import FIRST_REQUEST_GRACE_US, Listener
 from onyxpulley.servers import Servers
 from onyxpulley.streams import SocketStream
 from onyxpulley.system_calls import ErrorKind, classify_error
@@ -450,8 +451,9 @@
         self.enter(Phase.LINGERING)
         await asyncio.sleep(LINGER_S)
         self.enter(Phase.DRAINING)
-        for listener in (self.platform_front, *self.http_fronts):
-            await listener.stop_listening()
+        accept_until = int((start + min(REFUSE_AFTER_S, self.config.limits.drain_timeout)) * 1e6)
+        listeners = (self.platform_front, *self.http_fronts)
+        await asyncio.gather(*(listener.stop_listening(accept_until) for listener in listeners))
         await asyncio.sleep(SWEEP_INTERVAL_S / 2)  # to read from the connections that were queued
         last_answers = start + self.config.limits.drain_timeout
         while not self.is_quiet() and monotonic() < last_answers + FLUSH_S:
--- a/onyxpulley/streams.py
+++ b/onyxpulley/streams.py
@@ -7,6 +7,7 @@
 import contextlib
 import select
 import socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 from onyxpulley import metrics
@@ -40,21 +41,35 @@
     return True
 
 
+async def wait_readable(sock: socket.socket) -> None:
+    """Waits until the socket has bytes, a connection, its end or an error to read."""
+    loop = asyncio.get_running_loop()
+    await _wait_ready(sock, loop.add_reader, loop.remove_reader)
+
+
 async def wait_writable(sock: socket.socket) -> None:
     """Waits until the socket takes bytes or reports an error."""
     loop = asyncio.get_running_loop()
-    writable = loop.create_future()
+    await _wait_ready(sock, loop.add_writer, loop.remove_writer)
+
+
+async def _wait_ready(
+    sock: socket.socket,
+    add: Callable[[socket.socket, Callable[[], None]], None],
+    remove: Callable[[socket.socket], bool],
+) -> None:
+    is_ready = asyncio.get_running_loop().create_future()
 
     def ready() -> None:
-        if not writable.done():
-            writable.set_result(None)
+        if not is_ready.done():
+            is_ready.set_result(None)
 
-    loop.add_writer(sock, ready)
+    add(sock, ready)
     try:
-        await writable
+        await is_ready
     finally:
         with contextlib.suppress(OSError):  # the loop's deferred close of the socket may fail
-            loop.remove_writer(sock)
+            remove(sock)
 
 
 class Stream(Protocol):
--- a/tests/test_eviction.py
+++ b/tests/test_eviction.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from onyxpulley.listeners import MAX_RANKED_IDLE, RANKING_VALID_US, EvictionRanking
+from onyxpulley.eviction import RANKING_VALID_US, UNDELIVERED_VALID_US, EvictionRanking, evict_one
 
 START = 10**9  # us
+EVICTIONS = 64  # while one ranking is valid
 
 
 class Idle:
-    """A connection that counts how often it is looked at."""
+    """A connection; all of them together count how often they are looked at."""
 
     looks = 0
+    asked = 0  # whether it is delivered
 
     def __init__(self, last_activity: int) -> None:
         self.last_activity = last_activity
@@ -23,6 +25,7 @@
         return self.answered
 
     def is_delivered(self) -> bool:
+        Idle.asked += 1
         return self.delivered
 
     def eviction_age(self, now: int) -> int:
@@ -53,9 +56,9 @@
 def test_a_crowd_is_looked_at_once_for_many_evictions() -> None:
     crowd = Crowd(512)
     Idle.looks = 0
-    assert [crowd.evict() for _ in range(MAX_RANKED_IDLE)] == list(range(MAX_RANKED_IDLE))
-    assert Idle.looks <= 512 + 2 * MAX_RANKED_IDLE
-    assert crowd.evict() == MAX_RANKED_IDLE, "ranked again"
+    assert [crowd.evict() for _ in range(EVICTIONS)] == list(range(EVICTIONS))
+    assert Idle.looks <= 512 + 2 * EVICTIONS
+    assert crowd.evict() == EVICTIONS
 
 
 def test_what_is_no_longer_idle_since_the_ranking_is_passed_over() -> None:
@@ -78,3 +81,27 @@
     assert crowd.evict() is None
     crowd.all[2].answered = True
     assert crowd.evict() == 2
+
+
+# Guards against an accept that takes quadratic time where nothing can be evicted: a drain hung in it.
+def test_connections_that_were_not_delivered_are_asked_once_in_a_while() -> None:
+    crowd = Crowd(256)
+    for connection in crowd.all:
+        connection.delivered = False
+    Idle.asked = 0
+    assert [crowd.evict() for _ in range(100)] == [None] * 100
+    assert Idle.asked == 256
+    crowd.all[7].last_activity = START  # what waited was read
+    crowd.all[7].delivered = True
+    assert crowd.evict() == 7
+    crowd.all[9].delivered = True
+    assert crowd.evict(START + UNDELIVERED_VALID_US) == 9
+
+
+def test_each_connection_is_asked_once_for_one_eviction() -> None:
+    crowd = Crowd(256)
+    for connection in crowd.all:
+        connection.delivered = False
+    Idle.asked = 0
+    assert not evict_one(crowd.all, START)
+    assert Idle.asked == 256
