--- a/onyxpulley/decision_adapter.py
+++ b/onyxpulley/decision_adapter.py
@@ -49,6 +49,7 @@
 MAX_RETRY_AFTER_MS = 500  # for clients that are refused without a decision
 # By then all that discovery has to tell counts as known on the platform, whether it arrived or not.
 MAX_NOTICE_DELAY_US = 7_000_000
+MAX_NOTICE_DELAY_AFTER_MOVE_US = 4_000_000  # the same from a move of discovery to another address on
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +105,7 @@
             link_transfers=link_transfers,
             max_tracked_objects=max_tracked_objects,
             max_notice_delay=MAX_NOTICE_DELAY_US,
+            max_notice_delay_after_move=MAX_NOTICE_DELAY_AFTER_MOVE_US,
         )
 
     def _use_settings(self, settings: api.Settings) -> None:
@@ -250,6 +252,10 @@
         """Takes the proof that every event that discovery had `age_us` ago was received."""
         return self._handle(api.EventsConfirmed(age_us))
 
+    def discovery_moved(self) -> Sequence[Command]:
+        """Notes that discovery has another address from now on."""
+        return self._handle(api.DiscoveryMoved())
+
     # ---- Translation of events and actions
     def _handle(self, event: api.Event) -> list[Command]:
         return self._to_commands(self.router.handle(self.clock(), event))
--- a/onyxpulley/discovery.py
+++ b/onyxpulley/discovery.py
@@ -16,9 +16,6 @@
 from onyxpulley.core import Exchange
 from onyxpulley.decision_adapter import MAX_NOTICE_DELAY_US, DecisionAdapter, Member
 from onyxpulley.discovery_events import (
-    CONNECT_TIMEOUT_S,
-    SILENCE_TIMEOUT_S,
-    ConnectionSchedule,
     DiscoveryStreamError,
     Event,
     EventReader,
@@ -27,6 +24,7 @@
     parse_event,
     timestamps_of,
 )
+from onyxpulley.discovery_schedule import CONNECT_TIMEOUT_S, SILENCE_TIMEOUT_S, ConnectionSchedule
 from onyxpulley.servers import Servers
 from onyxpulley.streams import close_quietly
 
@@ -175,6 +173,7 @@
         closed, since they may stay open without sending anything."""
         if address != self.address:
             self.address = address
+            self.exchange.execute(self.decisions.discovery_moved())
             for key in list(self.connections):
                 self.close_connection(key)
             self.schedule.reset()
--- a/onyxpulley/discovery_events.py
+++ b/onyxpulley/discovery_events.py
@@ -1,4 +1,4 @@
-"""Events of discovery and the schedule of its connections: decisions only, without sockets or a clock."""
+"""Events of discovery: decisions only, without sockets or a clock."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import math
 import re
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from onyxpulley import fields
@@ -14,14 +14,7 @@
 
 SERVER_ID = re.compile(r"[!-+\--~]{1,128}")  # what the line protocol can carry: no space, no comma
 PARSE_ERRORS = (ValueError, LookupError, TypeError, AttributeError, ArithmeticError, RecursionError)
-SILENCE_TIMEOUT_S = 2.2  # two of the numbers sent each second are missing: another connection is opened
-SILENCE_JITTER_S = 0.3  # added at random, because all routers see the same silence
-DEAD_TIMEOUT_S = 3.5  # silence after which a connection is closed
-MIN_RECONNECT_DELAY_S = 0.1  # mean delay between the first two connection attempts, then doubled
-MAX_RECONNECT_DELAY_S = 0.5  # events sent meanwhile count already, so the delay stays short
 MAX_BAD_LINES = 8  # malformed lines skipped in a row: a connection that brings nothing else is closed
-MAX_CONNECTIONS = 4  # at a time: one may hang while the next ones are opened
-CONNECT_TIMEOUT_S = MAX_CONNECTIONS * MAX_RECONNECT_DELAY_S  # until connected, and then until the first bytes
 
 
 class DiscoveryStreamError(Exception):
@@ -172,93 +165,3 @@
             raise DiscoveryStreamError(f"more than {MAX_BAD_LINES} bad lines after {self.last_number}")
         self.log(f"{skipped} is skipped, malformed again: {error!r}"[:300])
         self.skipped += 1
-
-
-@dataclass(slots=True)
-class ConnectionState:
-    """What the schedule knows of one connection. Times are in seconds of the monotonic clock."""
-
-    last_progress: float  # when it was started, connected or last received something
-    connected: bool = False
-    received: bool = False
-    silence_deadline: float = 0.0  # until then it counts as alive without receiving more
-
-    def deadline(self) -> float:
-        """When it is given up, unless something is received before."""
-        return self.last_progress + (DEAD_TIMEOUT_S if self.received else CONNECT_TIMEOUT_S)
-
-
-@dataclass(frozen=True, slots=True)
-class ScheduleStep:
-    """What to do now, and when to ask again."""
-
-    connect: bool  # open one connection
-    close: Sequence[int]  # keys of the connections to close
-    wait_s: float  # seconds until the next step, if nothing happens before
-
-
-@dataclass(slots=True)
-class ConnectionSchedule:
-    """Decides when to connect to discovery and which connections to close. One that hangs or falls silent
-    is kept until its deadline, but another one is opened beside it, since an event counts from the time at
-    which discovery sends it, received or not. Delays are spread by `random` in [0, 1), since all routers lose
-    discovery at the same moment."""
-
-    random: Callable[[], float]
-    connections: dict[int, ConnectionState] = field(default_factory=dict)
-    delay: float = MIN_RECONNECT_DELAY_S  # mean delay until the next connection is opened
-    next_connect: float = 0.0  # no connection is opened before then
-    last_key: int = 0
-
-    def started(self, now: float) -> int:
-        """Notes that a connection is being opened. Returns its key."""
-        self.last_key += 1
-        self.connections[self.last_key] = ConnectionState(now)
-        self.next_connect = now + self.delay * (0.5 + self.random())
-        self.delay = min(MAX_RECONNECT_DELAY_S, 2 * self.delay)
-        return self.last_key
-
-    def connected(self, now: float, key: int) -> None:
-        """Notes that a connection was established."""
-        if key in self.connections:
-            connection = self.connections[key]
-            connection.last_progress, connection.connected = now, True
-            connection.silence_deadline = now + SILENCE_TIMEOUT_S + SILENCE_JITTER_S * self.random()
-
-    def received(self, now: float, key: int) -> None:
-        """Notes that a connection received something."""
-        if key in self.connections:
-            self.connected(now, key)
-            self.connections[key].received = True
-            self.delay = MIN_RECONNECT_DELAY_S
-
-    def closed(self, now: float, key: int) -> None:
-        """Notes that a connection was closed or could not be established."""
-        connection = self.connections.pop(key, None)
-        if connection is not None and connection.received:  # otherwise the delay since its start is enough
-            self.next_connect = max(self.next_connect, now + self.delay * (0.5 + self.random()))
-
-    def reset(self) -> None:
-        """Forgets all connections, as after a change of the address, and connects at once."""
-        self.connections.clear()
-        self.delay, self.next_connect = MIN_RECONNECT_DELAY_S, 0.0
-
-    def step(self, now: float) -> ScheduleStep:
-        """What to do now. Of several live connections, one that received something is kept."""
-        live = [key for key, c in self.connections.items() if c.connected and now < c.silence_deadline]
-        if live:
-            best = max(
-                live, key=lambda key: (self.connections[key].received, self.connections[key].last_progress)
-            )
-            superseded = (
-                [key for key in self.connections if key != best] if self.connections[best].received else []
-            )
-            return ScheduleStep(False, superseded, max(0.01, self.connections[best].silence_deadline - now))
-        overdue = [key for key, c in self.connections.items() if now >= c.deadline()]
-        connect = now >= self.next_connect
-        if connect and len(self.connections) - len(overdue) >= MAX_CONNECTIONS:  # the oldest makes room
-            rest = [key for key in self.connections if key not in overdue]
-            overdue.append(min(rest, key=lambda key: self.connections[key].last_progress))
-        deadlines = [c.deadline() for key, c in self.connections.items() if key not in overdue]
-        next_time = min((time for time in (self.next_connect, *deadlines) if time > now), default=now)
-        return ScheduleStep(connect, overdue, max(0.01, next_time - now))
--- a/onyxpulley/interface.py
+++ b/onyxpulley/interface.py
@@ -138,6 +138,7 @@
     max_notice_delay: int = (
         0  # by then an event of discovery counts as known, received or not; 0: if received
     )
+    max_notice_delay_after_move: int = 0  # the same for what it has told when it moved to another address
     load_report_fields: tuple[str, ...] = ()  # names of the values in a load report, in order
     max_tracked_objects: int = 40_000  # entries per table: rankings, request rates, learned sizes
     link_transfers: float = 0.0  # full-speed transfers that this router's link carries; 0: keeps no copies
@@ -256,6 +257,11 @@
     age: int
 
 
+@dataclass(frozen=True, slots=True)
+class DiscoveryMoved:
+    """Discovery has another address from now on; events of the old one are received no more."""
+
+
 Event = (
     MembershipUpdate
     | Request
@@ -266,6 +272,7 @@
     | Probed
     | Purged
     | EventsConfirmed
+    | DiscoveryMoved
 )
 
 
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -23,7 +23,8 @@
 from onyxpulley.core import Exchange, Verdict
 from onyxpulley.decision_adapter import DecisionAdapter
 from onyxpulley.discovery import DiscoveryClient
-from onyxpulley.discovery_events import CONNECT_TIMEOUT_S, PARSE_ERRORS
+from onyxpulley.discovery_events import PARSE_ERRORS
+from onyxpulley.discovery_schedule import CONNECT_TIMEOUT_S
 from onyxpulley.eviction import evict_one
 from onyxpulley.lingering import LingeringSockets
 from onyxpulley.listeners import FIRST_REQUEST_GRACE_US, Listener
--- a/onyxpulley/router.py
+++ b/onyxpulley/router.py
@@ -15,6 +15,7 @@
 from onyxpulley.hashing import admission_hash, scores
 from onyxpulley.interface import Effect, Note, Outcome, ServerState
 from onyxpulley.pending_requests import Attempt, PendingRequest, SlowStartCharge
+from onyxpulley.purge_history import PurgeHistory
 from onyxpulley.server_state import PRIMARY_FILL_TIME_CONSTANT, Server
 
 MS = 1000  # one millisecond, in microseconds
@@ -137,8 +138,7 @@
         self.next_share_update = 0  # no server's admission share is due for a change before this time
         self.mean_latency_ratios: dict[str, float] = {}  # by role, memoised during an update of the shares
 
-        self.purge_times: dict[tuple[str, object], int] = {}  # by ("object", name) or ("group", number)
-        self.events_confirmed_at: int | None = None  # all events of discovery up to then are known
+        self.purges = PurgeHistory(settings)
         # by object and part
         self.learned_work: BoundedDict[tuple[str, int], float] = BoundedDict(settings.max_tracked_objects)
         self.mean_work_by_class: dict[str, float] = {}
@@ -155,6 +155,7 @@
     def configure(self, settings: api.Settings) -> None:
         """Replaces the settings. Pending requests keep the settings of their class, servers their roles."""
         self.settings = settings
+        self.purges.settings = settings
         self.classes = {c.name: c for c in settings.classes}
         self.rankings.reset(settings.max_tracked_objects, min(MAX_RANKED, len(self.servers)))
         for table in (self.learned_work, self.object_load):
@@ -504,55 +505,25 @@
             self.eject(server)
 
     # ---- Purges
-    def on_purged(self, event: api.Purged) -> None:
-        """Records when an object or group was purged."""
-        if len(self.purge_times) > self.settings.max_tracked_objects:
-            self.purge_times = {k: t for k, t in self.purge_times.items() if not self.is_purge_complete(t)}
-        key = ("object", event.object) if event.object else ("group", event.group)
-        self.purge_times[key] = max(self.purge_times.get(key, -(2**62)), self.now - event.age)
-
-    def is_purge_complete(self, purged_at: int) -> bool:
-        """Whether no copy from before a purge can be left anywhere."""
-        return self.now - purged_at > self.settings.purge_duration + self.settings.purge_grace
-
-    def on_events_confirmed(self, event: api.EventsConfirmed) -> None:
-        """Records until when all events are known."""
-        confirmed_at = self.now - event.age
-        self.events_confirmed_at = max(confirmed_at, self.events_confirmed_at or confirmed_at)
-
-    def unknown_purge_limit(self) -> int:
-        """The age from which a copy may be older than a purge that counts as known without being received.
-
-        0 while there can be no such purge: the last confirmation is recent enough.
-        """
-        delay = self.settings.max_notice_delay
-        confirmed_at = self.events_confirmed_at
-        is_recent = confirmed_at is not None and self.now - confirmed_at < delay
-        return 0 if is_recent else delay
-
     def max_age(self, pending: PendingRequest, own_copy: bool = False) -> int:
         """The greatest age of a copy that may answer the request (rule 5), 0 for no limit.
 
-        Until a purge is complete, no copy may be older than the purge. That holds for purges that were not
-        received as well: servers drop their copies by themselves, in most deployments before such a purge
-        counts as known, but the router's own copies (`own_copy`) are dropped by received purges only. A limit
-        is at least 1, since caches read 0 as no limit.
+        Until a purge is complete, no copy may be older than the purge, whether the purge was received or only
+        counts as known. `own_copy`: of the router itself.
         """
         cls = pending.cls
-        request = pending.request
         age = (
             cls.freshness_lifetime + cls.grace
             if pending.accepts_stale and cls.freshness_lifetime and cls.grace
             else 0
         )
-        for key in (("object", request.object), ("group", request.group), ("group", None)):
-            purged_at = self.purge_times.get(key)
-            if purged_at is not None and not self.is_purge_complete(purged_at):
-                limit = max(1, self.now - purged_at - 1)
+        limits = (
+            self.purges.limit_by_received(self.now, pending.request),
+            self.purges.limit_by_unheard(self.now, own_copy),
+        )
+        for limit in limits:
+            if limit:
                 age = min(age or cls.freshness_lifetime or limit, limit)
-        if own_copy or self.settings.purge_duration > self.settings.max_notice_delay:
-            limit = self.unknown_purge_limit()
-            age = min(age or cls.freshness_lifetime or limit, limit) if limit else age
         return age
 
     # ---- Admission by expected time
@@ -1163,9 +1134,11 @@
             case api.MembershipUpdate():
                 self.on_membership_update(event)
             case api.Purged():
-                self.on_purged(event)
+                self.purges.on_purged(now, event)
             case api.EventsConfirmed():
-                self.on_events_confirmed(event)
+                self.purges.on_events_confirmed(now, event)
+            case api.DiscoveryMoved():
+                self.purges.on_discovery_moved(now)
             case api.Probed():
                 self.on_probed(event)
             case api.StreamStarted():
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,16 +19,20 @@
 from onyxpulley.decision_adapter import DecisionAdapter
 from onyxpulley.discovery import DiscoveryClient
 from onyxpulley.discovery_events import (
-    CONNECT_TIMEOUT_S,
-    DEAD_TIMEOUT_S,
-    MAX_CONNECTIONS,
-    ConnectionSchedule,
     DiscoveryStreamError,
     EventReader,
     MembershipEvent,
     PurgeEvent,
     parse_event,
 )
+from onyxpulley.discovery_schedule import (
+    CONNECT_TIMEOUT_S,
+    DEAD_TIMEOUT_S,
+    FIRST_ANSWER_TIMEOUT_S,
+    MAX_CONNECTIONS,
+    MAX_FIRST_ANSWER_TIMEOUT_S,
+    ConnectionSchedule,
+)
 from onyxpulley.server_streams import PlainServerStream
 from onyxpulley.servers import Servers
 
@@ -217,6 +221,58 @@
     assert schedule.step(6.2 + DEAD_TIMEOUT_S).connect
 
 
+class SlowDiscovery:
+    """Connections to a discovery service that answers each `answer_s` seconds after it was established."""
+
+    def __init__(self, answer_s: float, dead_first: int = 0) -> None:
+        """The first `dead_first` connections are never answered."""
+        self.answer_s = answer_s
+        self.dead_first = dead_first
+        self.schedule = ConnectionSchedule(random.Random(1).random)
+        self.established_at: dict[int, float] = {}
+        self.opened = 0
+        self.most = 0
+
+    def run(self, limit_s: float) -> float | None:
+        """Seconds until the first answer, or None if none came within the limit."""
+        for tick in range(round(100 * limit_s)):
+            now = tick / 100
+            step = self.schedule.step(now)
+            for key in step.close:
+                self.established_at.pop(key)
+                self.schedule.closed(now, key)
+            if step.connect:
+                key = self.schedule.started(now)
+                self.schedule.connected(now, key)
+                self.established_at[key] = now
+                self.opened += 1
+            self.most = max(self.most, len(self.established_at))
+            for key, established_at in self.established_at.items():
+                if key > self.dead_first and now >= established_at + self.answer_s:
+                    self.schedule.received(now, key)
+                    return now
+        return None
+
+
+# Guards against a discovery service that is never heard, since each connection is given up before it answers.
+@pytest.mark.parametrize("answer_s", [2.3, 3.0, 4.0, 6.9])
+def test_discovery_that_answers_a_connection_late_is_heard_on_the_first_one(answer_s: float) -> None:
+    discovery = SlowDiscovery(answer_s)
+    assert discovery.run(20.0) == pytest.approx(answer_s, abs=0.05)
+    assert discovery.opened <= 1 + answer_s / 2.2
+    assert discovery.most <= MAX_CONNECTIONS
+
+
+# Guards against the same where even the longest usual wait is too short, also behind connections that hang.
+@pytest.mark.parametrize("dead_first", [0, 3])
+@pytest.mark.parametrize("answer_s", [8.0, 20.0, 50.0])
+def test_discovery_is_heard_however_late_it_answers(answer_s: float, dead_first: int) -> None:
+    discovery = SlowDiscovery(answer_s, dead_first)
+    assert discovery.run(4 * answer_s + 60.0) is not None
+    assert discovery.most <= MAX_CONNECTIONS
+    assert FIRST_ANSWER_TIMEOUT_S <= discovery.schedule.longest_wait <= MAX_FIRST_ANSWER_TIMEOUT_S
+
+
 # ---- On sockets
 class DiscoveryHarness:
     """The program's parts with a discovery service on loopback, without its fronts."""
--- a/tests/test_unconfirmed_events.py
+++ b/tests/test_unconfirmed_events.py
@@ -22,6 +22,7 @@
 from .test_discovery import LIMITS, roster
 
 DELAY = 7 * SEC  # the platform's figure for what counts as told, whether it arrived or not
+MOVE_DELAY = 4 * SEC  # the same after discovery moved to another address
 MARGIN = 1 * SEC  # for the age of a confirmation: two of the numbers that are sent each second
 
 
@@ -235,3 +236,69 @@
         assert copies.entries
 
     play(script)
+
+
+def moved_harness(**changes: object) -> RouterHarness:
+    """A router whose events were confirmed just before discovery moved to another address."""
+    harness = harness_with_copies(max_notice_delay_after_move=MOVE_DELAY, **changes)
+    harness.handle(api.EventsConfirmed(0))
+    harness.handle(api.DiscoveryMoved())
+    return harness
+
+
+# Guards against serving a purged copy between 4 and 7 s after a new configuration moved discovery.
+def test_what_discovery_had_to_tell_counts_sooner_after_it_moved() -> None:
+    harness = moved_harness()
+    harness.now += MOVE_DELAY - SEC
+    assert serves_own_copy(harness, 60 * SEC)
+    harness.now += SEC
+    assert not serves_own_copy(harness, 60 * SEC)
+    harness.now += 2 * SEC
+    assert not serves_own_copy(harness, 60 * SEC)
+    assert serves_own_copy(harness, SEC), "a purge after it counts later"
+    harness.handle(api.EventsConfirmed(0))
+    assert serves_own_copy(harness, 60 * SEC)
+
+
+def test_a_confirmation_from_before_the_move_counted_is_not_enough() -> None:
+    harness = moved_harness()
+    harness.now += MOVE_DELAY - SEC
+    harness.handle(api.EventsConfirmed(0))
+    harness.now += 2 * SEC
+    assert not serves_own_copy(harness, 60 * SEC), "a purge in the last second before 4 s counts"
+    harness.handle(api.EventsConfirmed(SEC // 2))
+    assert serves_own_copy(harness, 60 * SEC)
+
+
+# Guards against new configurations in quick succession, each of which would put the end off.
+def test_a_second_move_does_not_put_off_what_counts_after_the_first() -> None:
+    harness = moved_harness()
+    harness.now += 3 * SEC
+    harness.handle(api.DiscoveryMoved())
+    harness.now += SEC
+    assert not serves_own_copy(harness, 60 * SEC)
+
+
+def test_copies_of_servers_are_limited_while_they_may_outlast_a_purge_that_counts_after_a_move() -> None:
+    harness = moved_harness(purge_duration=6 * SEC)
+    harness.now += MOVE_DELAY + SEC
+    assert single_fetch(harness.request("x")[1]).max_age == SEC
+    harness.handle(api.EventsConfirmed(0))
+    assert single_fetch(harness.request("x")[1]).max_age == 0
+
+
+# The same through discovery's client, by the program's figures.
+def test_a_new_address_is_a_move_and_the_same_address_is_none() -> None:
+    async def script(scene: ScriptedDiscovery) -> None:
+        await scene.send(b"1\n")
+        scene.discovery.change_address(scene.listener.getsockname())
+        scene.skip(4.1)
+        assert scene.serves_own_copy()
+        await scene.send(b"1\n")
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            scene.discovery.change_address(silent.getsockname())
+            assert scene.serves_own_copy()
+            scene.skip(4.1)
+            assert not scene.serves_own_copy()
+
+    play(script)
