--- a/onyxpulley/discovery.py
+++ b/onyxpulley/discovery.py
@@ -25,6 +25,7 @@
     timestamps_of,
 )
 from onyxpulley.discovery_schedule import CONNECT_TIMEOUT_S, SILENCE_TIMEOUT_S, ConnectionSchedule
+from onyxpulley.heartbeat_clock import HeartbeatClock
 from onyxpulley.servers import Servers
 from onyxpulley.streams import close_quietly
 
@@ -42,8 +43,8 @@
         self.buffer = Buffer(16_384, client.max_line_bytes)
         self.connected = False
         self.received_bytes = 0
-        # Monotonic seconds. What was read since, or is still to be read, discovery sent later than this.
-        self.nothing_unread_at = 0.0
+        self.nothing_unread_at = 0.0  # monotonic seconds; what was read since arrived at this machine later
+        self.clock = HeartbeatClock()
         self.task: asyncio.Task[None]
 
     async def connect(self, key: int, address: tuple[str, int]) -> None:
@@ -54,6 +55,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.sock_connect(self.sock, address)
                 self.nothing_unread_at = monotonic()
+                self.clock.start(self.nothing_unread_at)
                 await loop.sock_sendall(self.sock, b"after %d\n" % self.client.last_number)
             self.connected = True
             self.client.schedule.connected(monotonic(), key)
@@ -234,7 +236,7 @@
         if connection is None:
             return
         self.last_read, bytes_before = monotonic(), connection.received_bytes
-        sent_after = connection.nothing_unread_at
+        arrived_after = connection.nothing_unread_at
         try:
             lines = connection.read_lines()
             if connection.received_bytes > bytes_before:
@@ -242,8 +244,7 @@
             if lines is None:
                 self.close_connection(key)
                 return
-            self._apply_lines(lines)
-            self._pass_on_confirmation(sent_after)
+            self._apply_and_confirm(key, connection, lines, arrived_after)
             if lines:
                 self.caught_up.set()
         except DiscoveryStreamError as error:
@@ -258,12 +259,28 @@
         self.events.lost_event = False
         self.exchange.copies.purge_all(self.decisions.platform_clock.latest_unix_ms())
 
+    def _apply_and_confirm(
+        self, key: int, connection: DiscoveryConnection, lines: Sequence[bytes], arrived_after: float
+    ) -> None:
+        """Applies lines of one connection, and tells the decisions if one of them has shown that no event was
+        missing when it was sent. Raises DiscoveryStreamError."""
+        heartbeats_before = self.events.heartbeats
+        self.events.confirmed_by = None
+        try:
+            self._apply_lines(lines)
+        finally:
+            if self.events.confirmed_by is not None:
+                heartbeat = connection.clock.heartbeats + self.events.confirmed_by - heartbeats_before
+                self._pass_on_confirmation(min(arrived_after, connection.clock.proven_time(heartbeat)))
+            heartbeats = self.events.heartbeats - heartbeats_before
+            is_late = connection.clock.received(heartbeats, monotonic())
+            if heartbeats and self.schedule.heartbeat(monotonic(), key, is_late):
+                self.log("heartbeats come late: connecting again beside")
+                self.changed.set()
+
     def _pass_on_confirmation(self, sent_after: float) -> None:
-        """Tells the decisions if a line has shown that no event was missing when it was sent. It may have
-        waited in the network or in the kernel since `sent_after`, but not longer."""
-        if not self.events.confirmed:
-            return
-        self.events.confirmed = False
+        """Tells the decisions that no event was missing at `sent_after` (monotonic seconds). The line that
+        shows it may have waited in the network or in the kernel since then, but not longer."""
         self.confirmed_at = max(self.confirmed_at, sent_after)
         self.unconfirmed_logged = False
         self.exchange.execute(self.decisions.events_confirmed(int((monotonic() - sent_after) * 1e6)))
--- a/onyxpulley/discovery_events.py
+++ b/onyxpulley/discovery_events.py
@@ -104,7 +104,10 @@
         self.missing_after = -1  # the number after which events were missing at the last check
         self.skipped = 0  # malformed lines skipped in all
         self.bad_lines = 0  # malformed lines skipped since the last event
-        self.confirmed = False  # a line showed that no event was missing; reset by whoever acts on it
+        self.heartbeats = 0  # lines that hold only the last number, in all
+        # The value of `heartbeats` at the last one that showed that no event was missing; reset by whoever
+        # acts on it.
+        self.confirmed_by: int | None = None
         self.lost_event = False  # an event was passed over, whatever it said; reset by whoever acts on it
 
     def read(self, line: bytes) -> Event | None:
@@ -120,6 +123,7 @@
             self._skip(self.last_number, error)  # which event it was, if any, is unknown
             return None
         if number_only:
+            self.heartbeats += 1
             self._check_last(number)
             return None
         if number <= self.last_number:
@@ -143,7 +147,7 @@
         again."""
         if number <= self.last_number:
             self.missing_after = -1
-            self.confirmed = True
+            self.confirmed_by = self.heartbeats
         elif self.missing_after != self.last_number:
             self.missing_after = self.last_number
         elif self.requested_after != self.last_number:
--- a/onyxpulley/discovery_schedule.py
+++ b/onyxpulley/discovery_schedule.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 
 SILENCE_TIMEOUT_S = 2.2  # two of the numbers sent each second are missing: another connection is opened
 SILENCE_JITTER_S = 0.3  # added at random, because all routers see the same silence
@@ -16,6 +18,16 @@
 FIRST_ANSWER_TIMEOUT_S = 7.0
 MAX_FIRST_ANSWER_TIMEOUT_S = 56.0  # of the oldest connection, where none was answered within less
 
+MEAN_RENEWAL_DELAY_S = 5.0  # from the first of several late heartbeats to another connection
+
+
+class Renewal(Enum):
+    """Whether another connection is to take the place of one that is alive."""
+
+    NONE = "none"
+    DUE = "due"
+    UNDER_WAY = "under way"  # the other one was opened
+
 
 @dataclass(slots=True)
 class ConnectionState:
@@ -25,6 +37,8 @@
     connected: bool = False
     received: bool = False
     silence_deadline: float = 0.0  # until then it counts as alive without receiving more
+    renewal: Renewal = Renewal.NONE
+    renew_at: float = math.inf  # when the renewal is due, if its heartbeats are still late
 
     def awaits_answer(self) -> bool:
         """Whether it is established and discovery has sent nothing on it yet."""
@@ -88,6 +102,22 @@
         connection.received = True
         self.delay = MIN_RECONNECT_DELAY_S
 
+    def heartbeat(self, now: float, key: int, is_late: bool) -> bool:
+        """Notes a heartbeat of a connection. Where they stay late, another connection is opened to take its
+        place; returns whether that is to be done now."""
+        connection = self.connections.get(key)
+        if connection is None or not is_late:
+            if connection is not None:
+                connection.renew_at = math.inf
+            return False
+        if connection.renew_at == math.inf:
+            connection.renew_at = now + MEAN_RENEWAL_DELAY_S * (0.5 + self.random())
+        if now < connection.renew_at:
+            return False
+        connection.renew_at = math.inf
+        connection.renewal = Renewal.DUE
+        return True
+
     def closed(self, now: float, key: int) -> None:
         """Notes that a connection was closed or could not be established."""
         connection = self.connections.pop(key, None)
@@ -103,13 +133,8 @@
         """What to do now. Of several live connections, one that received something is kept."""
         live = [key for key, c in self.connections.items() if c.connected and now < c.silence_deadline]
         if live:
-            best = max(
-                live, key=lambda key: (self.connections[key].received, self.connections[key].last_progress)
-            )
-            superseded = (
-                [key for key in self.connections if key != best] if self.connections[best].received else []
-            )
-            return ScheduleStep(False, superseded, max(0.01, self.connections[best].silence_deadline - now))
+            best = max(live, key=self._preference)
+            return self._keep(best, now)
         deadlines = self._deadlines()
         overdue = [key for key, deadline in deadlines.items() if now >= deadline]
         if self._oldest_waiting() in overdue:
@@ -121,6 +146,27 @@
         next_time = min((time for time in (self.next_connect, *later) if time > now), default=now)
         return ScheduleStep(connect, overdue, max(0.01, next_time - now))
 
+    def _preference(self, key: int) -> tuple[bool, bool, float]:
+        """The greater, the rather a live connection is kept."""
+        connection = self.connections[key]
+        return connection.received, connection.renewal is Renewal.NONE, connection.last_progress
+
+    def _keep(self, best: int, now: float) -> ScheduleStep:
+        """Keeps a live connection, and another one beside it only to take its place."""
+        connection = self.connections[best]
+        others = [key for key in self.connections if key != best]
+        if connection.renewal is Renewal.UNDER_WAY and not others:
+            connection.renewal = Renewal.NONE  # the other one failed
+        if connection.renewal is Renewal.NONE:
+            superseded = others if connection.received else []
+            return ScheduleStep(False, superseded, max(0.01, connection.silence_deadline - now))
+        is_due = connection.renewal is Renewal.DUE
+        connection.renewal = Renewal.UNDER_WAY
+        deadlines = self._deadlines()
+        overdue = [key for key in others if now >= deadlines[key]]
+        next_time = min(connection.silence_deadline, *(deadlines[key] for key in others), math.inf)
+        return ScheduleStep(is_due and not others, overdue, max(0.01, next_time - now))
+
     def _oldest_waiting(self) -> int | None:
         """The key of the oldest connection that awaits its first answer."""
         waiting = [key for key, connection in self.connections.items() if connection.awaits_answer()]
--- a/tests/test_unconfirmed_events.py
+++ b/tests/test_unconfirmed_events.py
@@ -10,7 +10,7 @@
 import pytest
 
 from onyxpulley import interface as api
-from onyxpulley.clock import now_us, unix_us
+from onyxpulley.clock import monotonic, now_us, unix_us
 from onyxpulley.copy_store import Copy, CopyStore
 from onyxpulley.core import Answer, Exchange, Request, Verdict
 from onyxpulley.decision_adapter import MAX_NOTICE_DELAY_US, DecisionAdapter
@@ -302,3 +302,46 @@
             assert not scene.serves_own_copy()
 
     play(script)
+
+
+# Guards against serving a purged copy in an outage since the last heartbeat was under way when it began.
+def test_heartbeats_confirm_no_more_time_than_they_prove() -> None:
+    ages: list[float] = []
+
+    async def script(scene: ScriptedDiscovery) -> None:
+        requested_at = scene.discovery.connections[1].clock.requested_at
+        confirm = scene.decisions.events_confirmed
+
+        def record(age_us: int) -> object:
+            ages.append(monotonic() - requested_at - age_us / SEC)
+            return confirm(age_us)
+
+        scene.decisions.events_confirmed = record  # type: ignore[assignment, method-assign]
+        for _ in range(4):
+            await asyncio.sleep(0.9)  # a little more often than once a second, so that none proves it all
+            await scene.send(b"1\n")
+
+    play(script)
+    assert [round(age, 1) for age in ages] == [0.0, 0.0, 1.0, 2.0]
+
+
+# Guards against a confirmation that is taken for the next connection's, which may be behind.
+def test_a_confirmation_ahead_of_a_bad_line_counts_for_its_own_connection() -> None:
+    confirmed: list[int] = []
+
+    async def script(scene: ScriptedDiscovery) -> None:
+        await scene.send(b"1\n")
+        confirm = scene.decisions.events_confirmed
+
+        def record(age_us: int) -> object:
+            confirmed.append(age_us)
+            return confirm(age_us)
+
+        scene.decisions.events_confirmed = record  # type: ignore[assignment, method-assign]
+        await scene.send(b"1\nnoise\n")
+        assert len(confirmed) == 1
+        await scene.connect()
+        await scene.send(json.dumps({"no": 2, "recall": {"item": "ff", "issued": 5}}).encode() + b"\n")
+        assert scene.discovery.last_number == 2 and len(confirmed) == 1
+
+    play(script)
