Limit the memory of half-sent requests as it grows, and fields of a head

Paths: buffers of the platform's front (limited as they grow); header fields (100, then 431); heads and bodies of the HTTP fronts (one budget, then 503). Found right: bodies of open requests, unread answers, fields of an ASK. Open: memory of OpenSSL, slow readers of HTTP.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -68,6 +68,11 @@
 )
 
 
+def make_buffer() -> Buffer:
+    """A receive buffer that holds any valid message."""
+    return Buffer(4_096, MAX_BODY_BYTES + 8 * MAX_ELEMENT_BYTES)
+
+
 class ClientConnection:
     """One connection of a client, with a task that reads messages and one that writes answers.
 
@@ -78,7 +83,9 @@
         """`failing_since`: since when the connection may have waited because accepting failed, or 0."""
         self.front = front
         self.stream = SocketStream(sock, "client", failing_since, front.lingering)
-        self.buffer = Buffer(4_096, MAX_BODY_BYTES + 8 * MAX_ELEMENT_BYTES)
+        self.buffer = make_buffer()
+        self.buffer_bytes = 0  # of its memory, as counted by the front
+        self._count_buffer()
         self.open_requests: dict[int, Request] = {}  # by message number
         self.request_numbers = NumberSet()  # of all messages but STATUS
         self.status_numbers = NumberSet()  # of STATUS messages, which may come again under the same number
@@ -112,21 +119,35 @@
         After failed reads, all that may have queued up meanwhile is processed, also an end of the stream
         behind it, before anything is sent to a server for it.
         """
-        received: int | None = await self.stream.receive_into(self._free_space())
+        free_space = self._free_space()
+        if self.closed:
+            return False
+        received: int | None = await self.stream.receive_into(free_space)
         while received and not self.closed:
             self.buffer.end += received
             self._process_input()
             if self.closed or not self.stream.delayed_since:
                 break
-            received = self.stream.receive_now(self._free_space())
+            free_space = self._free_space()
+            received = self.stream.receive_now(free_space) if not self.closed else 0
         return received != 0
 
     def _free_space(self) -> memoryview:
         try:
-            return self.buffer.free_space()
+            free_space = self.buffer.free_space()
         except BufferError as error:
             self.stop_reading(CloseReason.MALFORMED, str(error))
             return self.buffer.free_space()
+        self._count_buffer()
+        if self.front.limit_partial_messages() and (self.closed or self.stop_reason is not None):
+            return self.buffer.free_space()
+        return free_space
+
+    def _count_buffer(self) -> None:
+        """Counts the present size of the buffer at the front."""
+        size = len(self.buffer.data)
+        self.front.buffer_bytes += size - self.buffer_bytes
+        self.buffer_bytes = size
 
     def _process_input(self) -> None:
         self.last_activity = now_us()
@@ -148,7 +169,8 @@
         self.front.log_bad_client(explanation)
         self.stop_reason = reason
         self.stopped_at = now_us()
-        self.buffer = Buffer(4_096, MAX_BODY_BYTES + 8 * MAX_ELEMENT_BYTES)
+        self.buffer = make_buffer()
+        self._count_buffer()
         self.bytes_to_discard = self.waiting_since = 0
         if reason is not CloseReason.MALFORMED:
             self.answer_open_requests()
@@ -358,6 +380,7 @@
                 task.cancel()
         self.tasks.clear()  # a reference cycle: the connection would stay until a garbage collection
         self.buffer = Buffer(0, 0)
+        self._count_buffer()
         if reason in ABORTING_REASONS or not self.sent_anything:
             self.stream.abort()
         else:
@@ -392,6 +415,7 @@
         self.evictable_elsewhere: Callable[[], Iterable[EvictableConnection]] = tuple
         self.eviction = EvictionRanking(lambda: (*self.connections, *self.evictable_elsewhere()))
         self.unsent_bytes = 0  # of all connections
+        self.buffer_bytes = 0  # memory of the receive buffers of all connections
         self.ready = False  # what STATUS tells
         self.draining = False
         self.lines_logged = 0  # about bad clients, in the current second
@@ -422,8 +446,7 @@
             self.log_window_start = now_us()
 
     def sweep(self) -> None:
-        """Stops reading from connections that are overdue, and while incomplete messages take too much memory
-        from those that have been idle longest."""
+        """Stops reading from connections that are overdue, and limits the memory of incomplete messages."""
         now = now_us()
         self._start_log_window_if_due()
         for client in [c for c in self.connections if c.is_overdue(now)]:
@@ -434,14 +457,26 @@
             if c.stop_reason is not None and now - c.stopped_at > MESSAGE_TIMEOUT_US
         ]:
             client.answer_open_requests()
+        self.limit_partial_messages()
+
+    def limit_partial_messages(self) -> bool:
+        """While receive buffers take too much memory, stops reading from those connections with an incomplete
+        message that have been idle longest. Returns whether there was one.
+
+        Called whenever a buffer has grown: until the next sweep hundreds of them could exceed the memory.
+        """
+        if self.buffer_bytes <= self.limits.partial_message_bytes:
+            return False
+        now = now_us()
         incomplete = sorted(
             (c for c in self.connections if c.waiting_since), key=lambda c: c.eviction_age(now)
         )
-        buffered_bytes = sum(len(c.buffer.data) for c in incomplete)
-        while buffered_bytes > self.limits.partial_message_bytes:
+        stopped = False
+        while incomplete and self.buffer_bytes > self.limits.partial_message_bytes:
             client = incomplete.pop()
-            buffered_bytes -= len(client.buffer.data)
             client.stop_reading(CloseReason.MEMORY, "too much of messages that are incomplete")
+            stopped = True
+        return stopped
 
     def log_bad_client(self, explanation: str) -> None:
         """Logs one line, or only counts it past MAX_LOG_LINES_PER_SECOND: very many would fill the log."""
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -15,10 +15,13 @@
 from onyxpulley import logs
 from onyxpulley.clock import now_us
 from onyxpulley.eviction import SILENT_CONNECTION_WEIGHT
+from onyxpulley.receive_budget import ReceiveBudget
 from onyxpulley.streams import ClientStream
 
 MAX_URL_LENGTH = 8_192
 MAX_HEADER_BYTES = 16_384
+MAX_HEADERS = 100  # of one request
+HEADER_OVERHEAD_BYTES = 150  # memory of one header beside its text
 MAX_PIPELINED = 4  # requests waiting on one connection; the next one is refused and ends the connection
 READ_SIZE = 16_384  # bytes
 WRITE_TIMEOUT = 10.0  # seconds for a client to read one response
@@ -39,6 +42,7 @@
     received_at: int = 0  # monotonic microseconds at which the last byte arrived
     keep_alive: bool = True
     error_status: HTTPStatus | None = None  # why the request is answered without being handled
+    kept_bytes: int = 0  # counted in the budget of its connection
     # Whether reads have failed for so long that the client may have left unnoticed.
     client_may_have_left: Callable[[], bool] | None = None
 
@@ -75,6 +79,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.request = HttpRequest()  # the request that is being parsed
         self.size = 0  # bytes of its headers, then of its body
+        self.header_count = 0
         self.parts = list[bytes]()  # of its body
         self.pending: deque[HttpRequest] = deque()
         self.wake = asyncio.Event()  # set when a request was added to `pending`
@@ -88,29 +93,50 @@
         self.received_data = False  # at least one byte has arrived
         self.tasks: list[asyncio.Task[Any]] = []
         self.draining: Callable[[], bool] = lambda: False  # whether to close after the next response
+        self.budget = ReceiveBudget()  # replaced by that of its front
+
+    def _keep(self, size: int) -> bool:
+        """Counts bytes of the request that is parsed. Rejects the request where there is no room for them."""
+        if self.request.error_status is not None:
+            return False
+        if not self.budget.has_room(size):
+            self.request.error_status = HTTPStatus.SERVICE_UNAVAILABLE
+            return False
+        self.request.kept_bytes += size
+        self.budget.used_bytes += size
+        return True
+
+    def _release(self, request: HttpRequest) -> None:
+        """Takes a request that is handled or given up out of the budget."""
+        self.budget.used_bytes -= request.kept_bytes
+        request.kept_bytes = 0
 
     # ---- Callbacks of httptools
     def on_message_begin(self) -> None:
         """Starts a new request."""
         self.request = HttpRequest()
         self.size = 0
+        self.header_count = 0
         self.parts = []
         self.awaiting_since = self.awaiting_since or now_us()
 
     def on_url(self, data: bytes) -> None:
         """Appends to the target of the request; one that is too long is rejected."""
-        self.request.target += data.decode("ascii")
-        if len(self.request.target) > MAX_URL_LENGTH:
+        if len(self.request.target) + len(data) > MAX_URL_LENGTH:
             self.request.error_status = self.request.error_status or HTTPStatus.REQUEST_URI_TOO_LONG
-            self.request.target = self.request.target[:MAX_URL_LENGTH]
+        if self._keep(len(data)):
+            self.request.target += data.decode("ascii")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header. Duplicates of headers that decide on access or framing are rejected."""
-        self.size += len(name) + len(value)
-        if self.size > MAX_HEADER_BYTES:
+        size = len(name) + len(value)
+        self.size += size
+        self.header_count += 1
+        if self.size > MAX_HEADER_BYTES or self.header_count > MAX_HEADERS:
             self.request.error_status = (
                 self.request.error_status or HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             )
+        if not self._keep(size + HEADER_OVERHEAD_BYTES):
             return
         key = name.decode("latin-1").lower()
         if key in self.request.headers and key in ("authorization", "host", "content-length"):
@@ -130,9 +156,10 @@
         self.size += len(data)
         if self.size > self.max_body:
             self.request.error_status = self.request.error_status or HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-            self.parts.clear()
-        else:
+        if self._keep(len(data)):
             self.parts.append(data)
+        else:
+            self.parts.clear()
 
     def on_message_complete(self) -> None:
         """Queues the request for its response."""
@@ -232,6 +259,7 @@
                 while self.pending:
                     request = self.pending.popleft()
                     self.busy = True
+                    self._release(request)
                     response = (
                         Response(request.error_status)
                         if request.error_status
@@ -265,6 +293,8 @@
         if self.closed:
             return
         self.closed = True
+        for request in (*self.pending, self.request):
+            self._release(request)
         for task in self.tasks:
             if task is not asyncio.current_task():
                 task.cancel()
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -28,6 +28,7 @@
 from onyxpulley.eviction import evict_one
 from onyxpulley.lingering import LingeringSockets
 from onyxpulley.listeners import FIRST_REQUEST_GRACE_US, Listener
+from onyxpulley.receive_budget import ReceiveBudget
 from onyxpulley.servers import Servers
 from onyxpulley.streams import SocketStream
 from onyxpulley.system_calls import ErrorKind, classify_error
@@ -53,6 +54,7 @@
 RELOAD_RETRY_DELAY_S = 0.1
 START_RETRY_LIMIT_S = 5.0  # for which the start repeats what fails for a reason that may pass
 HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
+HTTP_REQUEST_SHARE = 0.25  # of the memory for incomplete messages: requests of one HTTP front
 MAX_HTTP_CONNECTIONS = 96  # of each HTTP front; bounds the memory that slow readers hold
 
 
@@ -487,6 +489,8 @@
         self.connect = connect
         self.platform_front = platform_front
         self.public = public
+        limits = platform_front.limits
+        self.budget = ReceiveBudget(lambda: HTTP_REQUEST_SHARE * limits.partial_message_bytes)
         self.connections: set[Connection] = set()
         self.tasks: set[asyncio.Task[None]] = set()  # one for each connection, also during its handshake
 
@@ -509,6 +513,7 @@
         connection = await connecting if isinstance(connecting, Awaitable) else connecting
         if connection is None:
             return
+        connection.budget = self.budget
         self.connections.add(connection)
         try:
             await connection.run()
