Begin nothing for a client whose close waits unread behind what it sent

Cause: the end of a stream is read behind all bytes before it, and nothing looked for it ahead of them.

Paths: requests that are taken and attempts of all fronts right before the first byte (POLLRDHUP); reads that lag for 50 ms and clients that withdraw 32 requests within 50 ms, whose end waits in their own kernel (attempts wait as while reads fail). Open: up to 32 requests that are not withdrawn, behind such bytes.

--- a/onyxpulley/clients.py
+++ b/onyxpulley/clients.py
@@ -28,7 +28,7 @@
     parse_number_of,
     parse_request,
 )
-from onyxpulley.streams import SocketStream
+from onyxpulley.streams import PEER_UNSEEN_US, SocketStream
 
 if TYPE_CHECKING:
     from onyxpulley.config import Limits
@@ -104,6 +104,8 @@
         self.last_request_at = 0
         self.stop_reason: CloseReason | None = None  # set when input is no longer parsed
         self.stopped_at = 0
+        self.backlog_since = 0  # since when reads have not taken all that had arrived
+        self.withdrawn_at: deque[int] = deque(maxlen=MAX_OPEN_REQUESTS)  # when the last ones were withdrawn
         self.wake_writer = asyncio.Event()
         self.tasks = {asyncio.create_task(self._read()), asyncio.create_task(self._write())}
 
@@ -128,6 +130,7 @@
             return False
         received: int | None = await self.stream.receive_into(free_space)
         while received and not self.closed:
+            self._note_backlog(received == len(free_space))
             self.buffer.end += received
             await self._process_input()
             if self.closed or not self.stream.delayed_since:
@@ -136,6 +139,21 @@
             received = self.stream.receive_now(free_space) if not self.closed else 0
         return received != 0
 
+    def _note_backlog(self, buffer_filled: bool) -> None:
+        """Notes since when more has arrived than was read: the end of the stream may be behind it."""
+        self.backlog_since = (self.backlog_since or now_us()) if buffer_filled else 0
+
+    def client_may_have_left(self) -> bool:
+        """Whether the client may have closed the connection unnoticed, long ago.
+
+        Reads have failed, or lagged behind what it sent, for a while; or it withdraws requests so quickly
+        that much must wait in its own kernel, with the end of the stream behind.
+        """
+        earliest = now_us() - PEER_UNSEEN_US
+        is_behind = 0 < self.backlog_since < earliest
+        withdraws_all = len(self.withdrawn_at) == MAX_OPEN_REQUESTS and self.withdrawn_at[0] > earliest
+        return is_behind or withdraws_all or self.stream.peer_may_have_left()
+
     def _free_space(self) -> memoryview:
         try:
             free_space = self.buffer.free_space()
@@ -244,6 +262,8 @@
         number = self._take_number(elements)
         verb, tag = elements[0], elements[1]
         if verb == b"ASK":
+            if self.stream.peer_has_closed():
+                return  # the end of the stream comes behind what was sent before it
             if len(self.open_requests) >= MAX_OPEN_REQUESTS:
                 return self._reject(elements, f"more than {MAX_OPEN_REQUESTS} open requests")
             try:
@@ -257,7 +277,8 @@
                 self._send_answer(number, tag, answer)
 
             request.reply = reply
-            request.client_may_have_left = self.stream.peer_may_have_left
+            request.client_may_have_left = self.client_may_have_left
+            request.client_has_left = self.stream.peer_has_closed
             first = not self.last_request_at
             self.last_request_at = self.last_activity
             self.open_requests[number] = request
@@ -268,6 +289,7 @@
         elif verb == b"NEVERMIND":
             abandoned = self.open_requests.pop(number, None)
             if abandoned is not None:
+                self.withdrawn_at.append(now_us())
                 self.front.exchange.client_left(abandoned)
         elif verb == b"STATUS":
             self.send(encode_reply(tag, b"fit" if self.front.ready else b"unfit"))
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -98,6 +98,7 @@
     tenant: str | None = None
     check_permission: Callable[[], bool] | None = None  # called before every attempt
     client_may_have_left: Callable[[], bool] | None = None  # true once reads have failed for a while
+    client_has_left: Callable[[], bool] | None = None  # true once its connection is closed, seen or not yet
     signature: str = ""  # passed on only to the servers that are configured to receive it
     key: str = ""  # unique within this process; set by Exchange.submit
     received_at: int = 0
@@ -314,6 +315,10 @@
         self.read_pending()
         if attempt.ended or attempt.request.ended:
             return False
+        if attempt.request.client_has_left is not None and attempt.request.client_has_left():
+            metrics.count("client_left.before_write")
+            self.client_left(attempt.request)
+            return False
         if not self._is_permitted(attempt.request):
             return False
         if attempt.request.client_may_have_left is not None and attempt.request.client_may_have_left():
--- a/onyxpulley/http.py
+++ b/onyxpulley/http.py
@@ -45,6 +45,7 @@
     kept_bytes: int = 0  # counted in the budget of its connection
     # Whether reads have failed for so long that the client may have left unnoticed.
     client_may_have_left: Callable[[], bool] | None = None
+    client_has_left: Callable[[], bool] | None = None  # whether it has closed its connection
 
 
 @dataclass(slots=True)
@@ -168,6 +169,7 @@
         request.body = b"".join(self.parts)
         request.received_at = self.stream.delayed_since or now_us()
         request.client_may_have_left = self.stream.peer_may_have_left
+        request.client_has_left = self.stream.peer_has_closed
         if len(self.pending) >= MAX_PIPELINED:
             request.error_status = request.error_status or HTTPStatus.TOO_MANY_REQUESTS
         request.keep_alive = self.parser.should_keep_alive() and request.error_status is None
--- a/onyxpulley/signed_front.py
+++ b/onyxpulley/signed_front.py
@@ -186,6 +186,7 @@
             client_tag=etag[1] if etag else "",
             tenant=tenant.name,
             client_may_have_left=http_request.client_may_have_left,
+            client_has_left=http_request.client_has_left,
         )
 
     async def process(self, request: Request, tenant: Tenant) -> Response:
--- a/onyxpulley/spiffe/tls.py
+++ b/onyxpulley/spiffe/tls.py
@@ -75,6 +75,10 @@
         """Whether bytes, the end of the stream or an error wait to be read."""
         return self.plain.may_have_input()
 
+    def peer_has_closed(self) -> bool:
+        """That of the plain stream."""
+        return self.plain.peer_has_closed()
+
     async def handshake(self) -> None:
         """Completes the handshake, without a timeout. Raises OSError."""
         await self._step(self.connection.do_handshake)
--- a/onyxpulley/streams.py
+++ b/onyxpulley/streams.py
@@ -113,6 +113,10 @@
         """Whether bytes, the end of the stream or an error wait to be read."""
         ...
 
+    def peer_has_closed(self) -> bool:
+        """Whether the client has closed the connection, also behind bytes that wait to be read."""
+        ...
+
 
 class SocketStream:
     """A plain connection on a non-blocking socket. Points in time are monotonic microseconds, 0 for never."""
@@ -201,6 +205,12 @@
         poll.register(self.sock, select.POLLIN)
         return bool(poll.poll(0))
 
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has closed the connection, also behind bytes that wait to be read."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)  # POLLHUP and POLLERR are always reported
+        return bool(poll.poll(0))
+
     async def send_all(self, data: Data) -> None:
         """Sends everything, waiting as needed, and lets other tasks run between many small sends."""
         rest, sends_left = memoryview(data), MAX_SENDS_PER_TURN
