Run no job again under an id that came before, also after its client left

Cause: Exchange knew the ids of open requests only; an abandoned or answered one is not open, though its attempt may have run.

Paths: client left, request withdrawn, answered, attempt broken (all fail now under the id); never ran (may come again); safe classes and the signed front, which makes its ids itself (as before).

--- a/benchmarks/records.py
+++ b/benchmarks/records.py
@@ -44,6 +44,9 @@
 
     answer_now = client_left
 
+    def is_safe(self, cls: str) -> bool:
+        return True
+
     def is_cacheable(self, cls: str) -> bool:
         return False
 
--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -16,6 +16,7 @@
 from onyxpulley import logs, metrics
 from onyxpulley.clock import now_us
 from onyxpulley.copy_store import Copy, CopyStore
+from onyxpulley.recent_jobs import RecentJobs
 
 RESEND_DELAY = 0.01  # seconds until an attempt is tried again that was held back as its client may have left
 
@@ -179,6 +180,9 @@
     def is_cacheable(self, cls: str) -> bool:
         """Whether answers of this class may be kept as copies."""
 
+    def is_safe(self, cls: str) -> bool:
+        """Whether requests of this class may run twice."""
+
     def recheck(self, attempt: Attempt) -> bool:
         """Whether an attempt that has waited may still be written. Updates its bound on the age of a copy."""
 
@@ -231,6 +235,7 @@
         self.copies = copies
         self.open_requests: dict[str, Request] = {}  # by key
         self.open_txns: set[str] = set()
+        self.recent_jobs = RecentJobs()
         self.answer_counts: Counter[tuple[str, Verdict]] = Counter()  # by class and verdict
         self.closing = False  # draining: new requests are refused, except the first one of a connection
         self.ending = False  # the process ends: all new requests are refused
@@ -255,7 +260,7 @@
         if self.ending or (self.closing and not is_first) or self._is_full():
             self._refuse(request, "closing" if self.closing or self.ending else "full")
             return
-        if request.txn in self.open_txns:  # servers tell requests apart by it: the answers could be swapped
+        if self._is_id_in_use(request):
             metrics.count("failed.id_in_use")
             self._answer(request, Answer(Verdict.FAILED))
             return
@@ -264,6 +269,16 @@
         request.own_copy = self.copies.get((request.cls, request.object_id, request.part))
         self._run_decision(request, lambda: self.policy.route(request))
 
+    def _is_id_in_use(self, request: Request) -> bool:
+        """Whether another request has the same id.
+
+        Servers tell requests apart by it, so the answers to two that are open could be swapped. A job whose
+        id came before may run twice, whatever became of the first one.
+        """
+        if request.txn in self.open_txns:
+            return True
+        return request.txn in self.recent_jobs and not self.policy.is_safe(request.cls)
+
     def refuse(self, request: Request, reason: str) -> None:
         """Takes a new request and refuses it at once; `reason` names the counter."""
         self._register(request)
@@ -336,10 +351,11 @@
         if not attempt.ended:
             self.transport.send(attempt)
 
-    @staticmethod
-    def write_started(attempt: Attempt) -> None:
+    def write_started(self, attempt: Attempt) -> None:
         """Notes that the first byte of an attempt was sent: from now on the request may run."""
         attempt.written = True
+        if attempt.at_most_once:
+            self.recent_jobs.add(attempt.request.txn)
         attempt.request.may_have_run = True
 
     def finish(self, attempt: Attempt, result: AttemptResult) -> None:
@@ -355,6 +371,8 @@
         if result.outcome.never_ran:
             request.may_have_run = any(a.written for a in request.attempts if a is not attempt)
             attempt.written = False
+            if attempt.at_most_once and not request.may_have_run:
+                self.recent_jobs.discard(request.txn)
         served = result.outcome is Outcome.SERVED and not request.ended
         if served:
             self._answer(request, Answer(Verdict.SERVED, result.body, result.tag, result.not_modified))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -37,6 +37,9 @@
     def answer_now(self, request: Request) -> Sequence[Command]:
         return []
 
+    def is_safe(self, cls: str) -> bool:
+        return True
+
     def is_cacheable(self, cls: str) -> bool:
         return False
 
