Take a server for gone once another one is listed at its address

Cause: a server that is gone can stay listed for a while, and nothing compared the addresses; its work was sent to the new one there, uncounted by that one's slow start.

Paths: full lists, changes, late news of the old server, moves, restarts of either. The later start, else the newly listed server has the address; AddressOwners resolves every list before the decisions, the pools and the records see it.

--- a/onyxpulley/discovery.py
+++ b/onyxpulley/discovery.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from onyxpulley import logs, metrics
+from onyxpulley.address_owners import AddressOwners
 from onyxpulley.buffers import Buffer
 from onyxpulley.clock import monotonic
 from onyxpulley.core import Exchange
@@ -120,6 +121,7 @@
         self.decisions, self.exchange, self.servers = decisions, exchange, servers
         self.log: Callable[[str], None] = log_line
         self.events = EventReader(self.log)
+        self.addresses = AddressOwners()
         self.schedule = ConnectionSchedule(random.Random(seed).random)
         self.connections: dict[int, DiscoveryConnection] = {}
         self.changed = asyncio.Event()  # the schedule is to be asked again
@@ -160,6 +162,7 @@
     def _update_members(self, full: bool, members: Sequence[Member]) -> None:
         if not members and not full:
             return
+        members = self.addresses.resolve(full, members)
         self.on_members(full, members)
         if full:
             listed = {member.uid for member in members}
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -42,10 +42,19 @@
 LIMITS = derive_limits({"memory_mb": 64, "sockets": 256}, {}, 3.0)
 
 
+ADDRESSES: dict[str, str] = {}  # by id; each server has an address of its own
+
+
+def address_of(uid: str) -> str:
+    """An address at which nothing listens."""
+    number = len(ADDRESSES)
+    return ADDRESSES.setdefault(uid, f"127.1.{number // 250}.{1 + number % 250}:9")
+
+
 def roster(no: int, rows: dict[str, str], full: bool = False, **more: Any) -> dict[str, Any]:
     kinds = {"c": ("edge-1", "box"), "p": ("hub", "parent"), "o": ("hub", "origin")}
     targets = [
-        {"uid": uid, "endpoint": "127.0.0.1:9", "az": kinds[uid[0]][0], "model": kinds[uid[0]][1],
+        {"uid": uid, "endpoint": address_of(uid), "az": kinds[uid[0]][0], "model": kinds[uid[0]][1],
          "pod_group": 0, "state": state, "capacity_hint": 4, "boot_ms": 0, **more}
         for uid, state in rows.items()
     ]  # fmt: skip
