Write no attempt to an address that its server has left

Cause: the checks before a write look at the server, which is listed and in order, and not at the address of the connection. Connections to the old address stay until their attempts have ended, and wrote those that still waited.

Paths: connections that are being made and connections behind a slow write; both ask ConnectionPool.retired right before the first byte and send the attempt to the present address. In flight attempts end where they are; servers that are gone were checked already.

--- a/onyxpulley/servers.py
+++ b/onyxpulley/servers.py
@@ -238,6 +238,9 @@
             return b""
         if not self.pool.exchange.check_before_write(attempt):
             return b""
+        if self.pool.retired:  # the server has another address: another one may listen here by now
+            self.pool.retry(attempt, Outcome.BROKEN)
+            return b""
         request = attempt.request
         limit = max(1, (attempt.deadline - now_us()) // 1000)
         text = (
--- a/tests/test_address_owners.py
+++ b/tests/test_address_owners.py
@@ -153,6 +153,25 @@
 ORIGIN = Member("o", "127.0.0.1:1", "hub", "origin", 0, "Ready", 4.0, 0)
 
 
+# Guards against work that waited for a connection and is written to whoever listens at the old address now.
+def test_a_waiting_attempt_goes_to_the_new_address_of_its_server() -> None:
+    async def main() -> None:
+        with contextlib.ExitStack() as stack:
+            old_listener, old_address = listen(stack)
+            new_listener, new_address = listen(stack)
+            deployment = Deployment()
+            deployment.list_servers(replace(OLD, endpoint=old_address), ORIGIN, full=True)
+            deployment.request()
+            deployment.list_servers(replace(OLD, endpoint=new_address))
+            new = asyncio.create_task(received_by(new_listener))
+            assert b"fetch" not in await received_by(old_listener)
+            assert b"fetch 9b1f03aa5c7e2d41" in await new
+            deployment.servers.close()
+            await asyncio.sleep(0)
+
+    asyncio.run(main())
+
+
 # Guards against work for a server that is gone, but still listed, which reaches the new one at its address.
 def test_nothing_is_sent_for_a_server_whose_address_has_a_new_one() -> None:
     async def main() -> None:
