Share the ids of jobs between the processes of an upgrade

Cause: each process knew only its own ids. The new one took the id of a job that had run at the old one, whose client had left.

Paths: old to new and new to old; processes that were killed (ignored, their files removed); ENOSPC, EIO, EMFILE and ENFILE while the file is made or written (kept and written later), short writes, failing reads, a foreign folder or a link. JobLog keeps a ring of 8,192 records of 16 bytes in a locked file for each process, in a folder of TMPDIR for the router's name and address, and reads the others before a job is taken. Rejected: a socket between the processes, and ids of processes that have ended, which would fail jobs after a restart.

--- a/onyxpulley/core.py
+++ b/onyxpulley/core.py
@@ -277,7 +277,7 @@
         """
         if request.txn in self.open_txns:
             return True
-        return request.txn in self.recent_jobs and not self.policy.is_safe(request.cls)
+        return not self.policy.is_safe(request.cls) and request.txn in self.recent_jobs
 
     def refuse(self, request: Request, reason: str) -> None:
         """Takes a new request and refuses it at once; `reason` names the counter."""
--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -26,6 +26,7 @@
 from onyxpulley.discovery_events import PARSE_ERRORS
 from onyxpulley.discovery_schedule import CONNECT_TIMEOUT_S
 from onyxpulley.eviction import evict_one
+from onyxpulley.job_log import folder_of
 from onyxpulley.lingering import LingeringSockets
 from onyxpulley.listeners import FIRST_REQUEST_GRACE_US, Listener
 from onyxpulley.receive_budget import ReceiveBudget
@@ -154,6 +155,7 @@
 
     async def _run_phases(self) -> int:
         self._start_recorder()
+        self.exchange.recent_jobs.share(folder_of(self.config.name, self.config.listen))
         self.enter(Phase.STARTING)
         try:
             self.discovery.load_initial(self.config.known_event_number, self.config.known_events)
@@ -194,6 +196,7 @@
             http_front.close()
         self.console.close()
         self.servers.close()
+        self.exchange.recent_jobs.close()
         self.enter(Phase.STOPPED)
         if self.recorder is not None:
             self.recorder.close()
