Keep the shared files of job ids small, and those of tests in their folders

A ring of 2,048 records (32 KB) is some twenty seconds of 100 jobs a second, more than two processes of an upgrade run beside each other.

--- a/onyxpulley/job_log.py
+++ b/onyxpulley/job_log.py
@@ -20,7 +20,7 @@
 from onyxpulley.clock import monotonic
 
 RECORD = struct.Struct("<QQ")  # sequence number, from 1; the id as a number
-RING_RECORDS = 8_192
+RING_RECORDS = 2_048
 RECORDS_PER_READ = 256
 SUFFIX = ".jobs"
 FOLDER_CHECK_INTERVAL_S = 0.1  # between two looks for files of other processes
--- a/soak/router.py
+++ b/soak/router.py
@@ -64,7 +64,8 @@
         """Writes the configuration and starts the process."""
         self.write_configuration()
         env = {k: v for k, v in os.environ.items() if not k.startswith(("GW_", "ONYXPULLEY_"))}
-        env |= {"GW_NAME": self.name, "GW_CONFIG": str(self.configuration_path), **self.extra_environment}
+        env |= {"GW_NAME": self.name, "GW_CONFIG": str(self.configuration_path)}
+        env |= {"TMPDIR": str(self.configuration_path.parent), **self.extra_environment}
         if self.shim is not None:
             env |= self.shim.environment()
         command = ["/bin/sh", "-c", START_COMMAND, sys.executable]
--- a/tests/player.py
+++ b/tests/player.py
@@ -231,6 +231,7 @@
         (self.folder / "config.json").write_text(json.dumps(config))
         env = {**os.environ, "GW_CONFIG": str(self.folder / "config.json"), "GW_NAME": "n0"}
         env["GW_LISTEN"] = config["listen"]  # type: ignore[assignment]
+        env["TMPDIR"] = str(self.folder)
         if self.operator:
             path = self.folder / "operator.toml"
             text = self.operator.replace("HTTP", str(self.ports["h"])).replace("ADMIN", str(self.ports["a"]))
