--- a/onyxpulley/discovery_events.py
+++ b/onyxpulley/discovery_events.py
@@ -147,7 +147,8 @@
         again."""
         if number <= self.last_number:
             self.missing_after = -1
-            self.confirmed_by = self.heartbeats
+            if number == self.last_number:  # discovery that names an earlier one is behind and proves nothing
+                self.confirmed_by = self.heartbeats
         elif self.missing_after != self.last_number:
             self.missing_after = self.last_number
         elif self.requested_after != self.last_number:
--- a/tests/test_unconfirmed_events.py
+++ b/tests/test_unconfirmed_events.py
@@ -345,3 +345,18 @@
         assert scene.discovery.last_number == 2 and len(confirmed) == 1
 
     play(script)
+
+
+# Guards against serving a purged copy since a discovery that is behind seems to confirm all events.
+def test_a_number_before_the_last_event_confirms_nothing() -> None:
+    async def script(scene: ScriptedDiscovery) -> None:
+        await scene.send(b"1\n")
+        event = json.dumps({"no": 2, "recall": {"item": "ff", "issued": 5}}).encode() + b"\n"
+        await scene.send(event + b"2\n")
+        scene.skip(7.1)
+        await scene.send(b'1\n{"no":1}\n')
+        assert not scene.serves_own_copy(), "it has not caught up"
+        await scene.send(b"2\n")
+        assert scene.serves_own_copy()
+
+    play(script)
