Take the number of a malformed event only if it is the next one

Cause: EventReader skipped the line and kept its number, so all later events counted as known.

Paths: malformed events with the next number (skipped, as before) and with any other (skipped without it). Own copies are dropped in both, since an event may have been lost. Well-formed events that jump are as before.

--- a/onyxpulley/discovery_events.py
+++ b/onyxpulley/discovery_events.py
@@ -133,8 +133,10 @@
         try:
             event = parse_event(message)
         except PARSE_ERRORS as error:
-            self._skip(number, error)
-            self.last_number = number
+            is_next = number == self.last_number + 1
+            self._skip(number if is_next else self.last_number, error)
+            if is_next:  # any other number of a malformed line may be malformed itself
+                self.last_number = number
             self.lost_event = True
             return None
         self.lost_event = self.lost_event or number > self.last_number + 1
--- a/tests/test_unconfirmed_events.py
+++ b/tests/test_unconfirmed_events.py
@@ -360,3 +360,21 @@
         assert scene.serves_own_copy()
 
     play(script)
+
+
+# Guards against a router that is deaf for good, as it takes the number of a malformed line for an event.
+def test_the_far_number_of_a_malformed_line_hides_no_later_event() -> None:
+    async def script(scene: ScriptedDiscovery) -> None:
+        await scene.send(b"1\n")
+        noise = b'{"no":99999999,"recall":{}}\n'
+        await scene.send(noise)
+        scene.peer.close()
+        await scene.connect()
+        await scene.send(noise)
+        assert scene.discovery.last_number == 1 and not scene.exchange.copies.entries
+        drain = json.dumps(roster(2, {"c0": "Terminating"})).encode()
+        await scene.send(drain + b"\n2\n")
+        assert scene.discovery.last_number == 2
+        assert scene.decisions.router.servers["c0"].state is api.ServerState.DRAINING
+
+    play(script)
