--- a/onyxpulley/program.py
+++ b/onyxpulley/program.py
@@ -16,7 +16,6 @@
 import uvloop
 
 from onyxpulley import config, logs, metrics
-from onyxpulley.clients import PlatformFront
 from onyxpulley.clock import monotonic, now_us
 from onyxpulley.console import Console, Metric
 from onyxpulley.copy_store import CopyStore
@@ -29,6 +28,7 @@
 from onyxpulley.job_log import folder_of
 from onyxpulley.lingering import LingeringSockets
 from onyxpulley.listeners import FIRST_REQUEST_GRACE_US, Listener
+from onyxpulley.platform_front import PlatformFront
 from onyxpulley.receive_budget import ReceiveBudget
 from onyxpulley.servers import Servers
 from onyxpulley.streams import SocketStream
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 
 from onyxpulley import metrics
-from onyxpulley.clients import PlatformFront
 from onyxpulley.clock import now_us
 from onyxpulley.listeners import ACCEPT_BATCH, Listener
+from onyxpulley.platform_front import PlatformFront
 
 from .player import encode_resp
 from .test_memory import make_exchange
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -12,7 +12,7 @@
 import pytest
 
 from onyxpulley import config
-from onyxpulley.clients import MAX_LOG_LINES_PER_SECOND, PlatformFront
+from onyxpulley.platform_front import MAX_LOG_LINES_PER_SECOND, PlatformFront
 
 from .helpers import RouterHarness, with_settings
 from .player import SETTINGS, ExchangePlayer, read_cases
--- a/tests/test_graceful_close.py
+++ b/tests/test_graceful_close.py
@@ -12,12 +12,13 @@
 import pytest
 
 from onyxpulley import lingering
-from onyxpulley.clients import ClientConnection, CloseReason, PlatformFront
+from onyxpulley.clients import ClientConnection, CloseReason
 from onyxpulley.clock import now_us
 from onyxpulley.console import Console
 from onyxpulley.eviction import evict_one
 from onyxpulley.http import MAX_PIPELINED, REQUEST_TIMEOUT, Connection, HttpRequest, Response
 from onyxpulley.lingering import LingeringSockets
+from onyxpulley.platform_front import PlatformFront
 from onyxpulley.streams import SocketStream
 
 from .player import encode_resp
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -16,11 +16,12 @@
 import pytest
 
 from onyxpulley import config
-from onyxpulley.clients import ClientConnection, PlatformFront
+from onyxpulley.clients import ClientConnection
 from onyxpulley.clock import now_us
 from onyxpulley.copy_store import CopyStore
 from onyxpulley.core import Answer, Attempt, AttemptResult, Exchange, Outcome, Request
 from onyxpulley.decision_adapter import DecisionAdapter, Member
+from onyxpulley.platform_front import PlatformFront
 
 from .player import SETTINGS, encode_resp
 
--- a/tests/test_receive_memory.py
+++ b/tests/test_receive_memory.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from onyxpulley.clients import PlatformFront
 from onyxpulley.http import MAX_HEADERS, Connection, HttpRequest, Response
+from onyxpulley.platform_front import PlatformFront
 from onyxpulley.receive_budget import ReceiveBudget
 from onyxpulley.streams import SocketStream
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -6,8 +6,8 @@
 from collections import Counter
 from pathlib import Path
 
-from onyxpulley.clients import CLOSE_QUEUE_FACTOR, FULL_QUEUE_FACTOR, PlatformFront
 from onyxpulley.core import AttemptResult, Outcome
+from onyxpulley.platform_front import CLOSE_QUEUE_FACTOR, FULL_QUEUE_FACTOR, PlatformFront
 
 from .player import REQUEST_FIELDS, encode_resp
 from .test_graceful_close import connect
--- a/tests/test_unconfirmed_events.py
+++ b/tests/test_unconfirmed_events.py
@@ -120,6 +120,17 @@
         return [answer.verdict for answer in answers] == [Verdict.SERVED]
 
 
+def on_confirmation(scene: ScriptedDiscovery, record: Callable[[int], None]) -> None:
+    """Has `record` called with the age (us) of each confirmation from now on, before it takes effect."""
+    confirm = scene.decisions.events_confirmed
+
+    def record_and_confirm(age_us: int) -> object:
+        record(age_us)
+        return confirm(age_us)
+
+    scene.decisions.events_confirmed = record_and_confirm  # type: ignore[assignment, method-assign]
+
+
 def play(script: Callable[[ScriptedDiscovery], Awaitable[None]]) -> None:
     """Runs a script on a discovery service that listens on loopback."""
 
@@ -173,13 +184,7 @@
 
     async def script(scene: ScriptedDiscovery) -> None:
         await scene.send(b"1\n")
-        confirm = scene.decisions.events_confirmed
-
-        def record(age_us: int) -> object:
-            ages.append(age_us)
-            return confirm(age_us)
-
-        scene.decisions.events_confirmed = record  # type: ignore[assignment, method-assign]
+        on_confirmation(scene, ages.append)
         await scene.send(b'{"no"')
         await asyncio.sleep(0.3)
         await scene.send(b":1}\n")
@@ -310,13 +315,7 @@
 
     async def script(scene: ScriptedDiscovery) -> None:
         requested_at = scene.discovery.connections[1].clock.requested_at
-        confirm = scene.decisions.events_confirmed
-
-        def record(age_us: int) -> object:
-            ages.append(monotonic() - requested_at - age_us / SEC)
-            return confirm(age_us)
-
-        scene.decisions.events_confirmed = record  # type: ignore[assignment, method-assign]
+        on_confirmation(scene, lambda age_us: ages.append(monotonic() - requested_at - age_us / SEC))
         for _ in range(4):
             await asyncio.sleep(0.9)  # a little more often than once a second, so that none proves it all
             await scene.send(b"1\n")
@@ -331,13 +330,7 @@
 
     async def script(scene: ScriptedDiscovery) -> None:
         await scene.send(b"1\n")
-        confirm = scene.decisions.events_confirmed
-
-        def record(age_us: int) -> object:
-            confirmed.append(age_us)
-            return confirm(age_us)
-
-        scene.decisions.events_confirmed = record  # type: ignore[assignment, method-assign]
+        on_confirmation(scene, confirmed.append)
         await scene.send(b"1\nnoise\n")
         assert len(confirmed) == 1
         await scene.connect()
