Take a connection that was closed on this side for one whose client has left

Found by reading: SocketStream.peer_has_closed on a socket that was closed here raises ValueError; asked in a check before a write, it would end the writer of a server's connection. It happens where a client's socket is closed and its request not withdrawn yet (HTTP).

Change: a closed socket counts as left, and of the events only the peer's end, a hang-up and an error count. The new test of an aborted connection failed before and passes now.

--- a/onyxpulley/streams.py
+++ b/onyxpulley/streams.py
@@ -20,6 +20,7 @@
 Data = bytes | memoryview
 MAX_SENDS_PER_TURN = 16  # before other tasks run, where each call takes few bytes
 MAX_FAILING_US = 10_000_000  # a connection is given up when its calls fail for longer; exceeds any deadline
+PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 PEER_UNSEEN_US = 50_000  # half of the time after a client has left in which an attempt may still start
 
 
@@ -207,9 +208,11 @@
 
     def peer_has_closed(self) -> bool:
         """Whether the peer has closed the connection, also behind bytes that wait to be read."""
+        if self.sock.fileno() < 0:
+            return True  # closed on this side
         poll = select.poll()
-        poll.register(self.sock, select.POLLRDHUP)  # POLLHUP and POLLERR are always reported
-        return bool(poll.poll(0))
+        poll.register(self.sock, select.POLLRDHUP)
+        return any(events & PEER_CLOSED_EVENTS for _, events in poll.poll(0))
 
     async def send_all(self, data: Data) -> None:
         """Sends everything, waiting as needed, and lets other tasks run between many small sends."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,6 +10,7 @@
 import pytest
 
 from onyxpulley import streams
+from onyxpulley.lingering import LingeringSockets
 from onyxpulley.streams import SocketStream
 
 
@@ -59,3 +60,23 @@
 
     with pytest.raises(OSError, match="no buffers"):
         asyncio.run(play())
+
+
+# Guards against an error in a check before a write, which would end the writer of a server's connection.
+@pytest.mark.parametrize("end", ["graceful", "aborted"])
+def test_a_connection_that_was_closed_on_this_side_counts_as_left(end: str) -> None:
+    async def play() -> None:
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        stream = SocketStream(near, "client", 0, LingeringSockets())
+        assert not stream.peer_has_closed()
+        if end == "aborted":
+            stream.abort()
+        else:
+            stream.close()
+            far.close()
+        assert stream.peer_has_closed()
+        near.close()
+        far.close()
+
+    asyncio.run(play())
