Let a server that is new in the list have its address whatever start it tells

Found by reading: where the clock of a new server's machine was set back, the old server at its address had the later start, and the new one counted as gone, also after the old one had gone, until it was listed again.

Change: a server that is listed for the first time takes the address; of known ones the later start has it; one that lost its address has it again when the owner goes.

--- a/tests/test_address_owners.py
+++ b/tests/test_address_owners.py
@@ -46,7 +46,8 @@
     owners = AddressOwners()
     owners.resolve(True, [OLD])
     owners.resolve(False, [NEW])
-    owners.resolve(False, [replace(NEW, state="Gone")])
+    regained = owners.resolve(False, [replace(NEW, state="Gone")])
+    assert states(regained) == [("c1", "Gone"), ("c0", "Ready")], "it is listed still"
     assert states(owners.resolve(False, [OLD])) == [("c0", "Ready")]
     again = replace(NEW, boot_ms=5_000)
     owners.resolve(False, [again])
@@ -62,6 +63,13 @@
     assert final == {"c0": "Gone", "c1": "Ready"}
 
 
+# Guards against a new server that is never used, as the clock of its machine was set back before its start.
+def test_a_server_that_is_new_in_the_list_has_the_address_whatever_start_it_tells() -> None:
+    owners = AddressOwners()
+    owners.resolve(True, [replace(OLD, boot_ms=5_000)])
+    assert states(owners.resolve(False, [NEW])) == [("c0", "Gone"), ("c1", "Ready")]
+
+
 def test_a_server_that_moves_away_leaves_its_address_to_others() -> None:
     owners = AddressOwners()
     owners.resolve(True, [OLD])
