--- a/onyxpulley/address_owners.py
+++ b/onyxpulley/address_owners.py
@@ -36,8 +36,8 @@
         return resolved
 
     def _resolve_one(self, member: Member) -> list[Member]:
-        """A server that is listed for the first time, or at another address, takes the address over: its start
-        is told by a clock that may have been set. Of known servers the later start has it."""
+        """A server that is listed for the first time, or at another address, has the address. Its
+        start is told by a clock that may have been set. Of known servers the later start has it."""
         known = self.by_uid.get(member.uid)
         if member.state == GONE:
             return [member, *self._forget(member.uid)]
